--- /dev/null
+++ b/crates/heathspur/src/decide.rs
@@ -0,0 +1,1028 @@
+//! Every decision of one server: what it holds, runs, turns away and tells its callers.
+//!
+//! Types, events and actions stand in `interface.rs` beside this file. The path of a request, top to
+//! bottom: `take` (read, linked, held), `dispatch` (run), `calls` (what it needs below), `done`
+//! (learned from); `control` sets budgets, cap and signals each period; `sweep` answers what is due.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Seconds between looks at what is due; an answer may be early by this much.
+const SWEEP: f64 = 0.02;
+/// Seconds of one control period S: long enough for a few starts a class, short against the aims.
+const PERIOD: f64 = 0.5;
+/// Slots a second of error that the PI control answers with (the design's g).
+const GAIN: f64 = -0.80;
+/// Part of the last error that it takes off again (the design's r).
+const LAG: f64 = 0.30;
+/// Slots that a class keeps however low its control falls, so that none starves unseen.
+const MIN_BUDGET: f64 = 1.0;
+/// The wanted wait W_k, as a part of the aim less the run time; the rest absorbs uneven runs.
+const WAIT_SHARE: f64 = 0.5;
+/// The least wanted wait, as a part of the aim.
+const WAIT_FLOOR: f64 = 0.1;
+/// The running cap is multiplied by this when runs stretch or come late.
+const CAP_CUT: f64 = 0.85;
+/// Run time over its quiet level past which the cap is cut: cores shared by half as many again.
+const STRETCH: f64 = 1.6;
+/// Part of the runs past their aim at which the cap is cut.
+const LATE_PART: f64 = 0.25;
+/// Part of the crowd that a server survives which may be in flight.
+const CROWD_PART: f64 = 0.8;
+/// Parts of the memory: up to which runs are started, requests held, and keys entered.
+const RUN_MEMORY: f64 = 0.85;
+const HOLD_MEMORY: f64 = 0.93;
+const KEY_MEMORY: f64 = 0.5;
+/// Weight of a new sample in what is learned quickly, and in what must keep a quiet level.
+const FAST: f64 = 0.1;
+const SLOW: f64 = 0.01;
+/// Run time taken for a class before any run has ended, as a part of its aim.
+const RUN_GUESS: f64 = 0.15;
+/// The most of its aim that a run may be reckoned to take, so that no hint refuses by itself.
+const RUN_MOST: f64 = 0.5;
+/// Seconds without any progress, and the same in run times, after which work counts as stalled.
+const STALL: f64 = 1.0;
+const STALL_RUNS: f64 = 3.0;
+/// Seconds of its quota that a tenant may send at once.
+const QUOTA_BURST: f64 = 2.0;
+/// Part of our part of a shared dependency that we use, in the mean.
+const PART_USED: f64 = 0.9;
+/// Call time over its quiet level past which fewer calls are made at once.
+const CALL_STRETCH: f64 = 2.0;
+/// Times that one call is made in all, and seconds before the first repeat (doubled for each).
+const CALL_TRIES: u32 = 4;
+const CALL_BACKOFF: f64 = 0.05;
+/// Part of the aim that a request waits for a call it could leave out.
+const SKIP_WAIT: f64 = 0.1;
+/// Seconds that the hold may take to clear, as a part of the tightest aim, before the level rises.
+const CLEAR_PART: f64 = 0.25;
+/// Steps of the level each period, up and down.
+const LEVEL_UP: f64 = 0.10;
+const LEVEL_DOWN: f64 = 0.04;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    Held,
+    Running,
+    /// Stands at a call since then, not to be made before.
+    AtCall(Time),
+    /// The call is out, as one of so many tries.
+    Calling,
+    /// Waits for the result of the request it repeats.
+    Attached,
+}
+
+struct Req {
+    class: usize,
+    line: usize,
+    arrived: Time,
+    due: Time,
+    /// When an answer stops earning its full worth, as far as can be told here.
+    aim: Time,
+    kb: f64,
+    /// Its work against the class's mean.
+    size: f64,
+    phase: Phase,
+    /// It was run: never refused any more unless safe.
+    ran: bool,
+    /// An answer is still owed.
+    owed: bool,
+    started: Time,
+    /// Seconds spent at calls, and when the last call was reached.
+    away: f64,
+    reached: Time,
+    crowd: f64,
+    tries: u32,
+    /// The first try of the same keyed request.
+    root: Option<RequestId>,
+    repeats: Option<RequestId>,
+}
+
+/// The tries of one keyed request.
+struct Group {
+    ran: bool,
+    /// The entry in the table belongs to this try, until then.
+    entry: Option<(RequestId, Time)>,
+    held: Vec<RequestId>,
+    forget_at: Time,
+}
+
+/// PI control and what is learned of one class.
+#[derive(Default)]
+struct Control {
+    slots: f64,
+    budget: f64,
+    error: f64,
+    wait_sum: f64,
+    starts: f64,
+    running: usize,
+    /// Slot seconds held in this period.
+    used: f64,
+    /// Seconds of a run of mean size, with its calls; and of its work alone, undisturbed.
+    run: Mean,
+    quiet: Mean,
+    cost: Mean,
+}
+
+/// A running mean: plain at first, then with a fixed weight for what is new.
+#[derive(Clone, Copy, Default)]
+struct Mean {
+    value: f64,
+    count: f64,
+}
+
+impl Mean {
+    fn add(&mut self, sample: f64, weight: f64) {
+        self.count += 1.0;
+        self.value += (sample - self.value) * weight.max(1.0 / self.count);
+    }
+    fn or(&self, guess: f64) -> f64 {
+        if self.count > 0.0 {
+            self.value
+        } else {
+            guess
+        }
+    }
+}
+
+#[derive(Default)]
+struct TenantShare {
+    tokens: f64,
+    arrivals: f64,
+    rate: f64,
+}
+
+/// The decisions of one server, from its start to its end.
+pub struct Server {
+    set: Settings,
+    now: Time,
+    born: Option<Time>,
+    random: u64,
+    reqs: BTreeMap<RequestId, Req>,
+    /// A FIFO hold for each line: class k within the tenant's share is 2k, beyond it 2k + 1.
+    holds: Vec<VecDeque<RequestId>>,
+    order: Vec<usize>,
+    controls: Vec<Control>,
+    tenants: Vec<TenantShare>,
+    local_part: f64,
+    groups: BTreeMap<RequestId, Group>,
+    links: BTreeMap<RequestId, RequestId>,
+    entries: usize,
+    memory: f64,
+    on_core: usize,
+    at_calls: usize,
+    calling: usize,
+    cap: f64,
+    stretch: Mean,
+    late: Mean,
+    since_cut: f64,
+    call_quiet: Mean,
+    call_time: Mean,
+    call_cap: f64,
+    /// Mean calls of ours in the shared dependency's hands, and when it was last brought forward.
+    in_hands: f64,
+    hands_at: Time,
+    lingering: VecDeque<Time>,
+    progress: Time,
+    stalled: bool,
+    drain: Option<(Time, Time)>,
+    level: f64,
+    said: f64,
+    period_at: Time,
+    used_at: Time,
+    out: Vec<Action>,
+}
+
+impl Server {
+    /// A server that has just started, with nothing but its settings.
+    pub fn new(set: Settings, seed: u64) -> Server {
+        let (n, cores) = (set.classes.len(), set.cores.max(1) as f64);
+        let servers = set.servers.max(1) as f64;
+        let share = |t: &Tenant| TenantShare {
+            tokens: t.quota_per_s * QUOTA_BURST / servers,
+            arrivals: 0.0,
+            rate: t.quota_per_s / servers,
+        };
+        Server {
+            now: Time(0),
+            born: None,
+            random: seed,
+            reqs: BTreeMap::new(),
+            holds: vec![VecDeque::new(); 2 * n],
+            order: (0..2 * n).collect(),
+            controls: (0..n).map(|_| Control { budget: MIN_BUDGET, ..Control::default() }).collect(),
+            tenants: set.tenants.iter().map(share).collect(),
+            local_part: 1.0 / servers,
+            groups: BTreeMap::new(),
+            links: BTreeMap::new(),
+            entries: 0,
+            memory: 0.0,
+            on_core: 0,
+            at_calls: 0,
+            calling: 0,
+            cap: cores,
+            stretch: Mean::default(),
+            late: Mean::default(),
+            since_cut: 0.0,
+            call_quiet: Mean::default(),
+            call_time: Mean::default(),
+            call_cap: 1.0,
+            in_hands: 0.0,
+            hands_at: Time(0),
+            lingering: VecDeque::new(),
+            progress: Time(0),
+            stalled: false,
+            drain: None,
+            level: 0.0,
+            said: 0.0,
+            period_at: Time(0),
+            used_at: Time(0),
+            out: Vec::new(),
+            set,
+        }
+    }
+
+    /// Takes in all events of a batch, then acts once.
+    pub fn decide(&mut self, now: Time, events: &[Event], actions: &mut Vec<Action>) {
+        self.now = now.max(self.now);
+        self.count_used();
+        let mut swept = false;
+        if self.born.is_none() {
+            self.born = Some(now);
+            (self.hands_at, self.progress, self.period_at) = (now, now, now);
+            self.rank_lines();
+            self.out.push(Action::Health { good: true, stored: self.set.deep_checks });
+            swept = true;
+        }
+        for event in events {
+            match event {
+                Event::Request(r) => self.take(r),
+                Event::Done { id, outcome, latency } => self.done(*id, *outcome, *latency),
+                Event::NeedsCall(id) => self.needs_call(*id),
+                Event::Called { id, outcome, latency } => self.called(*id, *outcome, *latency),
+                Event::Gone(id) => self.gone(*id),
+                Event::Drain(left) => self.leave(*left),
+                Event::Timer { .. } => swept = true,
+            }
+        }
+        if swept {
+            self.sweep();
+            if self.now - self.period_at >= Span::from_secs(PERIOD) {
+                self.control();
+            }
+            self.out.push(Action::Timer { after: Span::from_secs(SWEEP), token: Token(0) });
+        }
+        self.calls();
+        self.dispatch();
+        actions.append(&mut self.out);
+    }
+
+    // ---- A request comes in ----
+
+    fn take(&mut self, r: &Request) {
+        let k = r.class.0;
+        if k >= self.set.classes.len() || self.reqs.contains_key(&r.id) {
+            return;
+        }
+        let class = &self.set.classes[k];
+        let (effect, window) = (class.effect, class.window);
+        let arrived = self.now - r.waited;
+        let due = r.patience.map_or(arrived + class.give_up, |left| self.now + left);
+        let size = match r.cost {
+            Some(cost) if cost > 0.0 => {
+                self.controls[k].cost.add(cost, SLOW);
+                (cost / self.controls[k].cost.value).clamp(0.25, 4.0)
+            }
+            _ => 1.0,
+        };
+        let run = self.controls[k].run.or(RUN_GUESS * class.aim.secs());
+        let aim_span = Span::from_secs(class.aim.secs() + class.aim_stretch * run * size).min(class.give_up);
+        // A caller that tells its patience tells the age of the first try too; one that waits less than
+        // is left after the aim is a call from the tier above, whose limit is its aim.
+        let late_span = Span(class.give_up.0 - aim_span.0);
+        let aim = match r.patience {
+            Some(left) if left > late_span => due - late_span,
+            Some(_) => due,
+            None => arrived + aim_span,
+        };
+        let over = r.tenant.is_some_and(|t| !self.within_share(t.0, r.retry));
+        let mut req = Req {
+            class: k,
+            line: 2 * k + usize::from(over),
+            arrived,
+            due: self.drain.map_or(due, |(_, stop)| due.min(stop)),
+            aim,
+            kb: r.held_kb,
+            size,
+            phase: Phase::Held,
+            ran: false,
+            owed: true,
+            started: self.now,
+            away: 0.0,
+            reached: self.now,
+            crowd: 0.0,
+            tries: 0,
+            root: None,
+            repeats: r.repeats,
+        };
+        self.memory += r.held_kb;
+        let line = req.line;
+        let mut admitted = true;
+        if effect == Effect::Keyed {
+            admitted = self.link(r.id, &mut req, window);
+        }
+        let prior =
+            r.repeats.filter(|p| effect == Effect::Safe && self.reqs.get(p).is_some_and(|q| q.owed && q.ran));
+        self.reqs.insert(r.id, req);
+        if effect == Effect::Safe && self.set.fresh.0 > 0 && r.has_key && self.entry_fits() {
+            self.out.push(Action::Keep { id: r.id, ttl: self.set.fresh });
+        }
+        let too_late = self.drain.is_some_and(|(since, _)| arrived > since + self.set.drain_grace);
+        if self.now + self.margin() >= due || too_late || !admitted || self.stalled {
+            self.give_up(r.id, false);
+        } else if prior.is_some() || self.group_ran(r.id) {
+            self.attach(r.id);
+        } else {
+            self.holds[line].push_back(r.id);
+        }
+        self.shed_for_memory();
+    }
+
+    /// Whether a request is within its tenant's local share. Further tries spend nothing: they take the
+    /// standing that their tenant has now.
+    fn within_share(&mut self, tenant: usize, retry: bool) -> bool {
+        let Some(t) = self.tenants.get_mut(tenant) else {
+            return true;
+        };
+        let within = t.tokens >= 1.0;
+        if !retry {
+            t.arrivals += 1.0;
+            if within {
+                t.tokens -= 1.0;
+            }
+        }
+        within
+    }
+
+    /// Links the tries of one keyed request, by the table's word; false when no entry fits.
+    ///
+    /// Each try is entered when read, so a repeat is known while the first is held, run or remembered.
+    fn link(&mut self, id: RequestId, req: &mut Req, window: Span) -> bool {
+        let now = self.now;
+        let root = match req.repeats {
+            None => id,
+            Some(prior) => self.links.get(&prior).copied().unwrap_or(prior),
+        };
+        // A repeat of what we know nothing of: some try of it has run.
+        let ran = req.repeats.is_some() && !self.groups.contains_key(&root);
+        let fits = self.entry_fits();
+        let forget_at = now + Span(2 * window.0);
+        let group =
+            self.groups.entry(root).or_insert(Group { ran, entry: None, held: Vec::new(), forget_at });
+        group.forget_at = forget_at;
+        self.links.insert(id, root);
+        req.root = Some(root);
+        if group.ran {
+            return true;
+        }
+        if group.entry.is_none() {
+            if !fits {
+                return false;
+            }
+            self.entries += 1;
+            self.memory += self.set.key_kb;
+        }
+        group.entry = Some((id, now + window));
+        group.held.push(id);
+        self.out.push(Action::Keep { id, ttl: window });
+        true
+    }
+
+    fn entry_fits(&self) -> bool {
+        let keys = (self.entries + 1) as f64 * self.set.key_kb;
+        keys <= KEY_MEMORY * self.set.memory_kb
+            && self.memory + self.set.key_kb <= HOLD_MEMORY * self.set.memory_kb
+    }
+
+    fn group_ran(&self, id: RequestId) -> bool {
+        let root = self.reqs.get(&id).and_then(|r| r.root);
+        root.and_then(|root| self.groups.get(&root)).is_some_and(|g| g.ran)
+    }
+
+    /// Answers a repeat with the result of the try that runs or ran.
+    fn attach(&mut self, id: RequestId) {
+        let Some(req) = self.reqs.get_mut(&id) else { return };
+        req.phase = Phase::Attached;
+        if req.repeats.is_some() {
+            self.out.push(Action::Reuse(id));
+        } else {
+            self.give_up(id, true);
+        }
+    }
+
+    // ---- It is started ----
+
+    /// Fills free slots: the class worth most within its budget first, then idle slots are lent.
+    fn dispatch(&mut self) {
+        if self.stalled {
+            return;
+        }
+        loop {
+            let ceiling = self.crowd() * CROWD_PART;
+            let cap = self.cap.min(ceiling).max(1.0).floor() as usize;
+            if self.on_core >= cap || (self.on_core + self.at_calls) as f64 >= ceiling {
+                return;
+            }
+            let calls_full = (self.at_calls + cap) as f64 >= ceiling;
+            let mut lent = None;
+            let mut chosen = None;
+            for i in 0..self.order.len() {
+                let line = self.order[i];
+                if calls_full && self.set.classes[line / 2].calls || !self.trim(line) {
+                    continue;
+                }
+                lent = lent.or(Some(line));
+                let control = &self.controls[line / 2];
+                if line % 2 == 0 && (control.running as f64) < control.budget {
+                    chosen = Some(line);
+                    break;
+                }
+            }
+            let Some(line) = chosen.or(lent) else { return };
+            let id = self.holds[line][0];
+            let extra = self.reqs[&id].kb * (self.set.run_factor - 1.0).max(0.0);
+            if self.memory + extra > RUN_MEMORY * self.set.memory_kb {
+                return;
+            }
+            self.holds[line].pop_front();
+            self.start(id, extra);
+        }
+    }
+
+    /// Drops what has ended from a hold's head; true when something is left.
+    fn trim(&mut self, line: usize) -> bool {
+        while let Some(id) = self.holds[line].front() {
+            if self.reqs.get(id).is_some_and(|r| r.phase == Phase::Held && r.owed) {
+                return true;
+            }
+            self.holds[line].pop_front();
+        }
+        false
+    }
+
+    fn start(&mut self, id: RequestId, extra: f64) {
+        let crowd = self.on_core as f64 + 1.0;
+        let Some(req) = self.reqs.get_mut(&id) else { return };
+        req.phase = Phase::Running;
+        req.ran = true;
+        req.started = self.now;
+        req.crowd = crowd;
+        let control = &mut self.controls[req.class];
+        if req.line % 2 == 0 {
+            control.wait_sum += (self.now - req.arrived).secs();
+            control.starts += 1.0;
+        }
+        control.running += 1;
+        if self.on_core == 0 {
+            self.progress = self.now;
+        }
+        self.on_core += 1;
+        self.memory += extra;
+        let root = req.root;
+        self.out.push(Action::Run(id));
+        if let Some(group) = root.and_then(|root| self.groups.get_mut(&root)) {
+            group.ran = true;
+            for other in std::mem::take(&mut group.held) {
+                if other != id && self.reqs.get(&other).is_some_and(|r| r.owed && r.phase == Phase::Held) {
+                    self.attach(other);
+                }
+            }
+        }
+    }
+
+    // ---- It calls what lies below ----
+
+    fn needs_call(&mut self, id: RequestId) {
+        self.progress = self.now;
+        let Some(req) = self.reqs.get_mut(&id) else { return };
+        if req.phase != Phase::Running {
+            return;
+        }
+        req.phase = Phase::AtCall(self.now);
+        req.reached = self.now;
+        req.tries = 0;
+        self.on_core -= 1;
+        self.at_calls += 1;
+        self.controls[req.class].running -= 1;
+    }
+
+    /// Makes the calls that requests stand at, most worth first, or leaves them out where that pays.
+    fn calls(&mut self) {
+        if self.at_calls == self.calling {
+            return;
+        }
+        let mut waiting: Vec<(usize, Time, RequestId)> = Vec::new();
+        for (&id, r) in &self.reqs {
+            if let (Phase::AtCall(from), true) = (r.phase, r.owed) {
+                if from <= self.now {
+                    let place = self.order.iter().position(|&l| l == r.line).unwrap_or(0);
+                    waiting.push((place, r.reached, id));
+                }
+            }
+        }
+        waiting.sort();
+        for (_, reached, id) in waiting {
+            let room = self.may_call();
+            let r = &self.reqs[&id];
+            let class = &self.set.classes[r.class];
+            let useful = if class.late_worth > 0.0 { r.due } else { r.aim.min(r.due) };
+            let left = (useful - self.margin()) - self.now;
+            let usual = self.call_time.or(0.0);
+            let can_skip = class.skip_worth > 0.0;
+            let waited = (self.now - reached).secs() > SKIP_WAIT * class.aim.secs();
+            let hopeless = (r.aim - self.now).secs() < usual;
+            if can_skip && (hopeless || r.tries >= 2 || (!room && waited)) {
+                self.out.push(Action::Skip(id));
+                self.resume(id);
+            } else if r.tries >= CALL_TRIES || left.0 == 0 {
+                self.give_up(id, true);
+            } else if room {
+                let mut limit = if can_skip { Span::from_secs(left.secs() * 0.5) } else { left };
+                if let Dependency::Shared { part, over, .. } = self.set.dependency {
+                    limit = limit.min(Span::from_secs(over.secs() * part));
+                }
+                self.out.push(Action::Call { id, limit: limit.max(Span::from_secs(SWEEP)) });
+                let r = self.reqs.get_mut(&id).expect("listed above");
+                r.phase = Phase::Calling;
+                r.tries += 1;
+                self.count_hands();
+                self.calling += 1;
+            }
+        }
+    }
+
+    /// Whether another call keeps our part of a shared dependency's load, in the mean and at once.
+    fn may_call(&mut self) -> bool {
+        let Dependency::Shared { part, .. } = self.set.dependency else {
+            return true;
+        };
+        self.count_hands();
+        let at_once = (PART_USED * part).floor().max(1.0);
+        let hands = self.hands() as f64;
+        hands < at_once.min(self.call_cap) && (part >= 1.0 || self.in_hands < PART_USED * part)
+    }
+
+    fn hands(&self) -> usize {
+        self.calling + self.lingering.len()
+    }
+
+    fn count_hands(&mut self) {
+        let Dependency::Shared { over, .. } = self.set.dependency else {
+            return;
+        };
+        let passed = (self.now - self.hands_at).secs() / over.secs().max(SWEEP);
+        self.in_hands += (self.hands() as f64 - self.in_hands) * (1.0 - (-passed).exp());
+        self.hands_at = self.now;
+        while self.lingering.front().is_some_and(|&until| until <= self.now) {
+            self.lingering.pop_front();
+        }
+    }
+
+    fn called(&mut self, id: RequestId, outcome: Outcome, latency: Span) {
+        let Some(req) = self.reqs.get(&id) else { return };
+        if req.phase != Phase::Calling {
+            return;
+        }
+        let effect = self.set.classes[req.class].effect;
+        let (owed, tries) = (req.owed, req.tries);
+        self.call_ended(outcome);
+        match outcome {
+            Outcome::Ok => {
+                self.call_quiet.add(latency.secs(), SLOW);
+                self.call_time.add(latency.secs(), FAST);
+                self.resume(id);
+            }
+            _ => {
+                if outcome == Outcome::Timeout {
+                    self.call_time.add(latency.secs(), FAST);
+                }
+                let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+                let wait = CALL_BACKOFF * f64::from(1u32 << tries.min(8)) * (0.5 + self.chance());
+                let again = self.now + Span::from_secs(wait);
+                let req = self.reqs.get_mut(&id).expect("found above");
+                req.phase = Phase::AtCall(again);
+                if owed && !never_ran && effect != Effect::Safe {
+                    self.give_up(id, true);
+                }
+            }
+        }
+    }
+
+    /// Books the end of a call; one that was abandoned stays in the dependency's hands for a while.
+    fn call_ended(&mut self, outcome: Outcome) {
+        self.count_hands();
+        self.calling -= 1;
+        if let Dependency::Shared { part, linger, .. } = self.set.dependency {
+            if matches!(outcome, Outcome::Timeout | Outcome::Cancelled) {
+                self.lingering.push_back(self.now + linger);
+            }
+            if self.call_time.value > CALL_STRETCH * self.call_quiet.value {
+                self.call_cap = (self.call_cap - 0.2).max(1.0);
+            } else {
+                self.call_cap = (self.call_cap + 1.0 / self.call_cap).min(part.max(1.0));
+            }
+        }
+    }
+
+    /// A request goes on from its call.
+    fn resume(&mut self, id: RequestId) {
+        let Some(req) = self.reqs.get_mut(&id) else { return };
+        req.phase = Phase::Running;
+        req.away += (self.now - req.reached).secs();
+        self.at_calls -= 1;
+        self.on_core += 1;
+        self.controls[req.class].running += 1;
+        self.progress = self.now;
+    }
+
+    // ---- It ends ----
+
+    fn done(&mut self, id: RequestId, outcome: Outcome, latency: Span) {
+        if outcome == Outcome::Moot {
+            return;
+        }
+        let Some(req) = self.remove(id) else { return };
+        if req.phase == Phase::Attached {
+            return;
+        }
+        if outcome == Outcome::Ok {
+            self.progress = self.now;
+        }
+        if outcome != Outcome::Ok || !req.owed {
+            return;
+        }
+        let cores = self.set.cores.max(1) as f64;
+        let control = &mut self.controls[req.class];
+        let own = (latency.secs() - req.away).max(0.0) / req.size;
+        let crowd = (0.5 * (req.crowd + self.on_core as f64 + 1.0) / cores).max(1.0);
+        control.quiet.add(own / crowd, SLOW);
+        control.run.add(latency.secs() / req.size, 0.05);
+        self.stretch.add(own / control.quiet.value.max(1e-6), FAST);
+        let in_time = self.now <= req.aim;
+        self.late.add(f64::from(u8::from(!in_time)), FAST);
+        self.since_cut += 1.0;
+        let waiting = self.holds.iter().any(|h| !h.is_empty());
+        if in_time && waiting {
+            self.cap = (self.cap + 1.0 / self.cap).min(self.crowd() * CROWD_PART);
+        }
+    }
+
+    /// Nobody waits any longer: what is held is gone, what runs is stopped.
+    fn gone(&mut self, id: RequestId) {
+        let Some(req) = self.reqs.get_mut(&id) else { return };
+        req.owed = false;
+        match req.phase {
+            Phase::Held | Phase::Attached => {
+                self.remove(id);
+                self.leave_group(id);
+            }
+            Phase::Running => self.stop(id),
+            Phase::AtCall(_) | Phase::Calling => {}
+        }
+    }
+
+    /// Gives the last answer at once: a refusal where it is certain that nothing ran or that running
+    /// again does no harm, else an error. What runs is stopped.
+    fn give_up(&mut self, id: RequestId, last: bool) {
+        let group_ran = self.group_ran(id);
+        let Some(req) = self.reqs.get_mut(&id) else { return };
+        if !req.owed {
+            return;
+        }
+        req.owed = false;
+        let safe = self.set.classes[req.class].effect == Effect::Safe;
+        let waits_below = matches!(req.phase, Phase::AtCall(_) | Phase::Calling);
+        if safe && !waits_below || !req.ran && !group_ran && req.phase != Phase::Attached {
+            let away = self.stalled || self.drain.is_some();
+            let stay_away = if away { self.set.advice } else { None };
+            self.out.push(Action::Refuse { id, stay_away, last });
+        } else {
+            self.out.push(Action::Fail(id));
+        }
+        match req.phase {
+            Phase::Held | Phase::Attached => {
+                self.remove(id);
+                self.leave_group(id);
+            }
+            Phase::Running => self.stop(id),
+            Phase::AtCall(_) | Phase::Calling => {}
+        }
+    }
+
+    /// Stops work that nobody waits for. Keyed work goes on: a repeat may still want its result.
+    fn stop(&mut self, id: RequestId) {
+        let keyed = self.reqs.get(&id).is_some_and(|r| r.root.is_some());
+        if self.set.halt != Halt::None && !keyed {
+            self.out.push(Action::Stop(id));
+        }
+    }
+
+    /// A try of a keyed request that never ran has ended: with the last such try goes the entry.
+    fn leave_group(&mut self, id: RequestId) {
+        let Some(root) = self.links.get(&id) else { return };
+        let Some(group) = self.groups.get_mut(root) else {
+            return;
+        };
+        group.held.retain(|&other| other != id);
+        if !group.ran && group.held.is_empty() {
+            if let Some((entry, _)) = group.entry.take() {
+                self.out.push(Action::Forget(entry));
+                self.entries -= 1;
+                self.memory -= self.set.key_kb;
+            }
+        }
+    }
+
+    /// Takes a request off the books.
+    fn remove(&mut self, id: RequestId) -> Option<Req> {
+        let req = self.reqs.remove(&id)?;
+        match req.phase {
+            Phase::Held | Phase::Attached => self.memory -= req.kb,
+            Phase::Running => {
+                self.on_core -= 1;
+                self.controls[req.class].running -= 1;
+                self.memory -= req.kb * self.set.run_factor.max(1.0);
+            }
+            Phase::AtCall(_) | Phase::Calling => {
+                self.at_calls -= 1;
+                if req.phase == Phase::Calling {
+                    self.call_ended(Outcome::Cancelled);
+                }
+                self.memory -= req.kb * self.set.run_factor.max(1.0);
+            }
+        }
+        Some(req)
+    }
+
+    // ---- Each sweep: what is due, late or stuck ----
+
+    /// Time before its due at which an answer is given: one sweep, and the clock's steps about it.
+    fn margin(&self) -> Span {
+        Span(Span::from_secs(SWEEP).0 + 3 * self.set.tick.0)
+    }
+
+    /// Seconds that a request would take from start to end.
+    fn run_time(&self, req: &Req) -> f64 {
+        let aim = self.set.classes[req.class].aim.secs();
+        (self.controls[req.class].run.or(RUN_GUESS * aim) * req.size).min(RUN_MOST * aim)
+    }
+
+    fn sweep(&mut self) {
+        self.watch_stall();
+        let margin = self.margin();
+        let mut ended: Vec<(RequestId, bool)> = Vec::new();
+        for (&id, r) in self.reqs.iter().filter(|(_, r)| r.owed) {
+            let class = &self.set.classes[r.class];
+            let due = self.now + margin >= r.due;
+            let ends = match r.phase {
+                // What waits still could not be run in time for its worth any more.
+                Phase::Held => {
+                    due || self.stalled || self.now + Span::from_secs(self.run_time(r)) > r.aim.min(r.due)
+                }
+                // Late work that earns nothing makes room; writes are seen through while somebody waits.
+                Phase::Running => {
+                    let safe = class.effect == Effect::Safe;
+                    due || safe && (self.stalled || class.late_worth == 0.0 && self.now > r.aim)
+                }
+                Phase::AtCall(_) | Phase::Calling | Phase::Attached => due,
+            };
+            if ends {
+                ended.push((id, !self.stalled));
+            }
+        }
+        for (id, last) in ended {
+            self.give_up(id, last);
+        }
+    }
+
+    /// Work has stalled when much runs and nothing moves: then everything goes elsewhere until it does.
+    fn watch_stall(&mut self) {
+        let run = self.controls.iter().map(|c| c.run.value).fold(0.0, f64::max);
+        let quiet = (self.now - self.progress).secs();
+        let much = 2 * self.on_core >= self.set.cores as usize;
+        let stalled = much && quiet > STALL.max(STALL_RUNS * run) || self.stalled && quiet > PERIOD;
+        let stalled = stalled && self.on_core > 0;
+        if stalled != self.stalled {
+            self.stalled = stalled;
+            let good = !stalled && self.drain.is_none();
+            self.out.push(Action::Health { good, stored: self.set.deep_checks || !good });
+            let what = if stalled { "work has stalled" } else { "work moves again" };
+            self.out.push(Action::Log(format!(
+                "{what}: {} on the cores, none ended for {quiet:.1} s",
+                self.on_core
+            )));
+        }
+    }
+
+    /// Notice to leave: nothing new past the grace, everything else answered before the stop.
+    fn leave(&mut self, left: Span) {
+        let stop = self.now + left;
+        self.drain = Some((self.now, stop));
+        for r in self.reqs.values_mut() {
+            r.due = r.due.min(stop);
+        }
+        self.out.push(Action::Health { good: false, stored: true });
+        self.out.push(Action::Log(format!(
+            "leaving: {} requests to answer in {:.1} s",
+            self.reqs.len(),
+            left.secs()
+        )));
+        if self.set.free_value == FreeValue::Level {
+            self.say(1.0);
+        }
+    }
+
+    // ---- Each period: budgets, cap, shares, signals ----
+
+    /// Brings the slot seconds that classes held up to now.
+    fn count_used(&mut self) {
+        let passed = (self.now - self.used_at).secs();
+        self.used_at = self.now;
+        if self.born.is_some() {
+            for c in &mut self.controls {
+                c.used += c.running as f64 * passed;
+            }
+        }
+    }
+
+    fn control(&mut self) {
+        let passed = (self.now - self.period_at).secs();
+        self.period_at = self.now;
+        self.forget_groups();
+        let all_late = self.late.value > LATE_PART;
+        if self.since_cut >= self.cap && (self.stretch.value > STRETCH || all_late) {
+            self.cap = (self.cap * CAP_CUT).max(self.set.cores.max(1) as f64);
+            self.since_cut = 0.0;
+        }
+        self.budgets(passed);
+        self.shares(passed);
+        self.rank_lines();
+        self.signal();
+        let unwanted: Vec<RequestId> = self
+            .reqs
+            .iter()
+            .filter(|(_, r)| !r.owed && r.phase == Phase::Running)
+            .map(|(&id, _)| id)
+            .collect();
+        for id in unwanted {
+            self.stop(id);
+        }
+    }
+
+    /// PI control of each class's slots on its wait. After saturation, when budgets came to more than the
+    /// cap, it goes on from the slots that were held. A class with no starts is judged by its oldest held
+    /// request; with nothing held either there is no wait to judge, and its control stands still.
+    fn budgets(&mut self, passed: f64) {
+        let saturated = self.controls.iter().map(|c| c.budget).sum::<f64>() > self.cap;
+        for k in 0..self.controls.len() {
+            let aim = self.set.classes[k].aim.secs();
+            let head = if self.trim(2 * k) { self.reqs.get(&self.holds[2 * k][0]) } else { None };
+            let oldest = head.map(|r| (self.now - r.arrived).secs());
+            let c = &mut self.controls[k];
+            let wait = if c.starts > 0.0 { Some(c.wait_sum / c.starts) } else { oldest };
+            let held = c.used / passed.max(SWEEP);
+            (c.wait_sum, c.starts, c.used) = (0.0, 0.0, 0.0);
+            let Some(wait) = wait else { continue };
+            let wanted = (WAIT_SHARE * (aim - c.run.or(RUN_GUESS * aim))).max(WAIT_FLOOR * aim);
+            let error = wanted - wait;
+            let before = if saturated { held } else { c.slots };
+            c.slots = pi(before, error, c.error).clamp(MIN_BUDGET.min(self.cap), self.cap);
+            c.error = error;
+            c.budget = c.slots.round();
+        }
+    }
+
+    /// Each tenant's local share: its quota by our part of the traffic. That part is at least one server's,
+    /// and more when the middle tenant shows that all of them send us more; one that floods moves it little.
+    fn shares(&mut self, passed: f64) {
+        if self.tenants.is_empty() {
+            return;
+        }
+        let mut parts = Vec::new();
+        for (t, quota) in self.tenants.iter_mut().zip(&self.set.tenants) {
+            t.rate += (t.arrivals / passed - t.rate) * (passed * 0.2).min(1.0);
+            t.arrivals = 0.0;
+            parts.push(t.rate / quota.quota_per_s.max(1e-6));
+        }
+        parts.sort_by(f64::total_cmp);
+        self.local_part = parts[(parts.len() - 1) / 2].max(1.0 / self.set.servers.max(1) as f64);
+        for (t, quota) in self.tenants.iter_mut().zip(&self.set.tenants) {
+            let rate = quota.quota_per_s * self.local_part;
+            t.tokens = (t.tokens + rate * passed).min((rate * QUOTA_BURST).max(1.0));
+        }
+    }
+
+    /// Orders the lines by worth: class worth, less beyond a tenant's share; ties go to the cheaper class
+    /// where each request counts the same, else to the tighter aim.
+    fn rank_lines(&mut self) {
+        let key = |line: usize| {
+            let (class, c) = (&self.set.classes[line / 2], &self.controls[line / 2]);
+            let worth = class.worth * if line % 2 == 1 { self.set.over_share_worth } else { 1.0 };
+            let tie = match self.set.worth_by {
+                WorthBy::Request => c.quiet.value,
+                WorthBy::Work => class.aim.secs(),
+            };
+            (worth, tie)
+        };
+        let mut order = std::mem::take(&mut self.order);
+        order.sort_by(|&a, &b| {
+            let ((wa, ta), (wb, tb)) = (key(a), key(b));
+            wb.total_cmp(&wa).then(ta.total_cmp(&tb)).then(a.cmp(&b))
+        });
+        self.order = order;
+    }
+
+    /// The free value. As a level it rises while the hold takes too long to clear, so that callers keep low
+    /// ranks to themselves and reading them costs nothing here.
+    fn signal(&mut self) {
+        let leaving = self.stalled || self.drain.is_some();
+        let aim = self.set.classes.iter().map(|c| c.aim.secs()).fold(f64::MAX, f64::min);
+        let held = self.reqs.values().filter(|r| r.phase == Phase::Held);
+        let clear = held.map(|r| self.run_time(r)).sum::<f64>() / self.cap;
+        let over = clear / (CLEAR_PART * aim) - 1.0;
+        let top = 1.0 - 1.0 / self.set.classes.len().max(1) as f64;
+        let step = if over > 0.0 { LEVEL_UP * over.min(1.0) } else { LEVEL_DOWN * over };
+        self.level = (self.level + step).clamp(0.0, top);
+        match self.set.free_value {
+            FreeValue::None => {}
+            FreeValue::Level => self.say(if leaving { 1.0 } else { self.level }),
+            FreeValue::Credit => {
+                let room = 2.0 * self.cap * (1.0 - self.level);
+                self.say(if leaving { 0.0 } else { room / self.set.callers.max(1) as f64 });
+            }
+            FreeValue::Weight => self.say(if leaving { 0.0 } else { 1.0 - self.level }),
+        }
+    }
+
+    fn say(&mut self, value: f64) {
+        if self.said != value {
+            self.said = value;
+            self.out.push(Action::Say(value));
+        }
+    }
+
+    // ---- Guards ----
+
+    /// Running requests on the cores that this server survives: fewer while it may still be cold.
+    fn crowd(&self) -> f64 {
+        let age = self.born.map_or(0.0, |b| (self.now - b).secs());
+        let warm = if self.set.cold && self.set.warm_up.0 > 0 {
+            let s = self.set.start_capacity;
+            (s + (1.0 - s) * age / self.set.warm_up.secs()).min(1.0)
+        } else {
+            1.0
+        };
+        self.set.cores as f64 * (1.0 + (self.set.fall_multiple - 1.0) * warm)
+    }
+
+    /// Keeps held memory under its bound: the newest of the line worth least goes first.
+    fn shed_for_memory(&mut self) {
+        while self.memory > HOLD_MEMORY * self.set.memory_kb {
+            let Some(line) = self.order.iter().rev().copied().find(|&l| !self.holds[l].is_empty()) else {
+                return;
+            };
+            if let Some(id) = self.holds[line].pop_back() {
+                self.give_up(id, false);
+            }
+        }
+    }
+
+    /// Entries whose time is over leave the count; groups are forgotten well after.
+    fn forget_groups(&mut self) {
+        let now = self.now;
+        for group in self.groups.values_mut() {
+            if group.entry.is_some_and(|(_, until)| until < now) {
+                group.entry = None;
+                self.entries -= 1;
+                self.memory -= self.set.key_kb;
+            }
+        }
+        let reqs = &self.reqs;
+        self.groups.retain(|_, g| {
+            g.forget_at > now || g.entry.is_some() || g.held.iter().any(|h| reqs.contains_key(h))
+        });
+        let groups = &self.groups;
+        self.links.retain(|_, root| groups.contains_key(root));
+    }
+
+    /// A number from 0 to 1 that only the seed decides.
+    fn chance(&mut self) -> f64 {
+        self.random = self.random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (self.random >> 33) as f64 / (1u64 << 31) as f64
+    }
+}
+
+/// The PI law: U(m) = U(m-1) + g (E(m) - r E(m-1)).
+fn pi(before: f64, error: f64, last: f64) -> f64 {
+    before + GAIN * (error - LAG * last)
+}
