Let marked retries wait behind first tries where no patience is told

Cause: retries come after their first try's aim has passed, and running them pushed first tries late too.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -305,7 +305,9 @@
             Some(_) => due,
             None => arrived + aim_span,
         };
-        let over = r.tenant.is_some_and(|t| !self.within_share(t.0, r.retry));
+        let beyond = r.tenant.is_some_and(|t| !self.within_share(t.0, r.retry));
+        // Where a caller tells no patience, a marked retry mostly comes after its aim has passed elsewhere.
+        let over = beyond || r.retry && r.patience.is_none();
         let mut req = Req {
             class: k,
             line: 2 * k + usize::from(over),
@@ -927,7 +929,7 @@
     fn rank_lines(&mut self) {
         let key = |line: usize| {
             let (class, c) = (&self.set.classes[line / 2], &self.controls[line / 2]);
-            let worth = class.worth * if line % 2 == 1 { self.set.over_share_worth } else { 1.0 };
+            let worth = class.worth * if line % 2 == 1 { self.set.over_share_worth.max(0.01) } else { 1.0 };
             let tie = match self.set.worth_by {
                 WorthBy::Request => c.quiet.value,
                 WorthBy::Work => class.aim.secs(),
