--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -905,7 +905,7 @@
     }
 
     /// Each tenant's local share: its quota by our part of the traffic. That part is at least one server's,
-    /// and more when even the tenant furthest below its quota sends us more; those that flood move it nowhere.
+    /// and more when the middle tenant shows that all of them send us more; one that floods moves it little.
     fn shares(&mut self, passed: f64) {
         if self.tenants.is_empty() {
             return;
@@ -917,7 +917,7 @@
             parts.push(t.rate / quota.quota_per_s.max(1e-6));
         }
         parts.sort_by(f64::total_cmp);
-        self.local_part = parts[0].max(1.0 / self.set.servers.max(1) as f64);
+        self.local_part = parts[(parts.len() - 1) / 2].max(1.0 / self.set.servers.max(1) as f64);
         for (t, quota) in self.tenants.iter_mut().zip(&self.set.tenants) {
             let rate = quota.quota_per_s * self.local_part;
             t.tokens = (t.tokens + rate * passed).min((rate * QUOTA_BURST).max(1.0));
@@ -929,7 +929,7 @@
     fn rank_lines(&mut self) {
         let key = |line: usize| {
             let (class, c) = (&self.set.classes[line / 2], &self.controls[line / 2]);
-            let worth = class.worth * if line % 2 == 1 { self.set.over_share_worth.max(0.01) } else { 1.0 };
+            let worth = class.worth * if line % 2 == 1 { 0.4 } else { 1.0 };
             let tie = match self.set.worth_by {
                 WorthBy::Request => c.quiet.value,
                 WorthBy::Work => class.aim.secs(),
