--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -929,7 +929,7 @@
     fn rank_lines(&mut self) {
         let key = |line: usize| {
             let (class, c) = (&self.set.classes[line / 2], &self.controls[line / 2]);
-            let worth = class.worth * if line % 2 == 1 { 0.4 } else { 1.0 };
+            let worth = class.worth * if line % 2 == 1 { self.set.over_share_worth.max(0.01) } else { 1.0 };
             let tie = match self.set.worth_by {
                 WorthBy::Request => c.quiet.value,
                 WorthBy::Work => class.aim.secs(),
