--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -29,10 +29,11 @@
 const LATE_PART: f64 = 0.25;
 /// Part of the crowd that a server survives which may be in flight.
 const CROWD_PART: f64 = 0.8;
-/// Parts of the memory: up to which runs are started, requests held, and keys entered.
+/// Parts of the memory up to which runs are started, and requests held and keys entered.
 const RUN_MEMORY: f64 = 0.85;
 const HOLD_MEMORY: f64 = 0.93;
-const KEY_MEMORY: f64 = 0.5;
+/// Runs a core that must still find memory beside the keys.
+const KEY_LEAVES: f64 = 1.5;
 /// Weight of a new sample in what is learned quickly, and in what must keep a quiet level.
 const FAST: f64 = 0.1;
 const SLOW: f64 = 0.01;
@@ -169,6 +170,8 @@
     links: BTreeMap<RequestId, RequestId>,
     entries: usize,
     memory: f64,
+    /// Memory of a held request.
+    kb: Mean,
     on_core: usize,
     at_calls: usize,
     calling: usize,
@@ -217,6 +220,7 @@
             links: BTreeMap::new(),
             entries: 0,
             memory: 0.0,
+            kb: Mean::default(),
             on_core: 0,
             at_calls: 0,
             calling: 0,
@@ -328,6 +332,7 @@
             repeats: r.repeats,
         };
         self.memory += r.held_kb;
+        self.kb.add(r.held_kb, SLOW);
         let line = req.line;
         let mut admitted = true;
         if effect == Effect::Keyed {
@@ -402,7 +407,8 @@
 
     fn entry_fits(&self) -> bool {
         let keys = (self.entries + 1) as f64 * self.set.key_kb;
-        keys <= KEY_MEMORY * self.set.memory_kb
+        let leave = KEY_LEAVES * self.set.cores as f64 * self.kb.value * self.set.run_factor;
+        keys <= HOLD_MEMORY * self.set.memory_kb - leave
             && self.memory + self.set.key_kb <= HOLD_MEMORY * self.set.memory_kb
     }
 
