--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -41,6 +41,8 @@
 const RUN_GUESS: f64 = 0.15;
 /// The most of its aim that a run may be reckoned to take, so that no hint refuses by itself.
 const RUN_MOST: f64 = 0.5;
+/// Part of its aim that a request queues before the work ahead of it may have it turned away.
+const QUEUE_PART: f64 = 0.2;
 /// Seconds without any progress, and the same in run times, after which work counts as stalled.
 const STALL: f64 = 1.0;
 const STALL_RUNS: f64 = 3.0;
@@ -788,7 +790,7 @@
     fn sweep(&mut self) {
         self.watch_stall();
         let margin = self.margin();
-        let mut ended: Vec<(RequestId, bool)> = Vec::new();
+        let mut ended: Vec<(RequestId, bool)> = self.hopeless();
         for (&id, r) in self.reqs.iter().filter(|(_, r)| r.owed) {
             let class = &self.set.classes[r.class];
             let due = self.now + margin >= r.due;
@@ -813,6 +815,30 @@
         }
     }
 
+    /// Held requests that the work ahead of them will keep past their aim. They go once they have queued for
+    /// a while, while there may still be time elsewhere: this serves callers whose load falls unevenly.
+    fn hopeless(&mut self) -> Vec<(RequestId, bool)> {
+        let mut found = Vec::new();
+        let mut ahead = 0.0;
+        for &line in &self.order {
+            for id in &self.holds[line] {
+                let Some(r) = self.reqs.get(id).filter(|r| r.owed && r.phase == Phase::Held) else {
+                    continue;
+                };
+                let run = self.run_time(r);
+                let left = (r.aim.min(r.due) - self.now).secs();
+                let queued =
+                    (self.now - r.arrived).secs() > QUEUE_PART * self.set.classes[r.class].aim.secs();
+                if queued && ahead / self.cap + run > left {
+                    found.push((*id, left < 2.0 * run));
+                } else {
+                    ahead += run;
+                }
+            }
+        }
+        found
+    }
+
     /// Work has stalled when much runs and nothing moves: then everything goes elsewhere until it does.
     fn watch_stall(&mut self) {
         let run = self.controls.iter().map(|c| c.run.value).fold(0.0, f64::max);
