--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -43,6 +43,8 @@
 const RUN_MOST: f64 = 0.5;
 /// Part of its aim that a request queues before the work ahead of it may have it turned away.
 const QUEUE_PART: f64 = 0.2;
+/// Run times that must be left for a try elsewhere to be of use.
+const ELSEWHERE: f64 = 2.0;
 /// Seconds without any progress, and the same in run times, after which work counts as stalled.
 const STALL: f64 = 1.0;
 const STALL_RUNS: f64 = 3.0;
@@ -85,6 +87,8 @@
     kb: f64,
     /// Its work against the class's mean.
     size: f64,
+    /// Its caller told its patience, so its age is known.
+    told: bool,
     phase: Phase,
     /// It was run: never refused any more unless safe.
     ran: bool,
@@ -322,6 +326,7 @@
             aim,
             kb: r.held_kb,
             size,
+            told: r.patience.is_some(),
             phase: Phase::Held,
             ran: false,
             owed: true,
@@ -348,7 +353,7 @@
         }
         let too_late = self.drain.is_some_and(|(since, _)| arrived > since + self.set.drain_grace);
         if self.now + self.margin() >= due || too_late || !admitted || self.stalled {
-            self.give_up(r.id, false);
+            self.give_up(r.id);
         } else if prior.is_some() || self.group_ran(r.id) {
             self.attach(r.id);
         } else {
@@ -426,7 +431,7 @@
         if req.repeats.is_some() {
             self.out.push(Action::Reuse(id));
         } else {
-            self.give_up(id, true);
+            self.give_up(id);
         }
     }
 
@@ -555,7 +560,7 @@
                 self.out.push(Action::Skip(id));
                 self.resume(id);
             } else if r.tries >= CALL_TRIES || left.0 == 0 {
-                self.give_up(id, true);
+                self.give_up(id);
             } else if room {
                 let mut limit = if can_skip { Span::from_secs(left.secs() * 0.5) } else { left };
                 if let Dependency::Shared { part, over, .. } = self.set.dependency {
@@ -622,7 +627,7 @@
                 let req = self.reqs.get_mut(&id).expect("found above");
                 req.phase = Phase::AtCall(again);
                 if owed && !never_ran && effect != Effect::Safe {
-                    self.give_up(id, true);
+                    self.give_up(id);
                 }
             }
         }
@@ -703,7 +708,7 @@
 
     /// Gives the last answer at once: a refusal where it is certain that nothing ran or that running
     /// again does no harm, else an error. What runs is stopped.
-    fn give_up(&mut self, id: RequestId, last: bool) {
+    fn give_up(&mut self, id: RequestId) {
         let group_ran = self.group_ran(id);
         let Some(req) = self.reqs.get_mut(&id) else { return };
         if !req.owed {
@@ -711,10 +716,15 @@
         }
         req.owed = false;
         let safe = self.set.classes[req.class].effect == Effect::Safe;
+        let (told, left) = (req.told, (req.aim - self.now).secs());
+        let run = self.run_time(&self.reqs[&id]);
+        let req = &self.reqs[&id];
         let waits_below = matches!(req.phase, Phase::AtCall(_) | Phase::Calling);
         if safe && !waits_below || !req.ran && !group_ran && req.phase != Phase::Attached {
             let away = self.stalled || self.drain.is_some();
             let stay_away = if away { self.set.advice } else { None };
+            // Elsewhere is worth a try with enough time left, which is certain only where patience is told.
+            let last = !away && (!told || left < ELSEWHERE * run);
             self.out.push(Action::Refuse { id, stay_away, last });
         } else {
             self.out.push(Action::Fail(id));
@@ -790,7 +800,7 @@
     fn sweep(&mut self) {
         self.watch_stall();
         let margin = self.margin();
-        let mut ended: Vec<(RequestId, bool)> = self.hopeless();
+        let mut ended = self.hopeless();
         for (&id, r) in self.reqs.iter().filter(|(_, r)| r.owed) {
             let class = &self.set.classes[r.class];
             let due = self.now + margin >= r.due;
@@ -807,17 +817,17 @@
                 Phase::AtCall(_) | Phase::Calling | Phase::Attached => due,
             };
             if ends {
-                ended.push((id, !self.stalled));
+                ended.push(id);
             }
         }
-        for (id, last) in ended {
-            self.give_up(id, last);
+        for id in ended {
+            self.give_up(id);
         }
     }
 
     /// Held requests that the work ahead of them will keep past their aim. They go once they have queued for
-    /// a while, while there may still be time elsewhere: this serves callers whose load falls unevenly.
-    fn hopeless(&mut self) -> Vec<(RequestId, bool)> {
+    /// a while, and free the reading and memory that they would cost. In vain where the work ahead ends early.
+    fn hopeless(&self) -> Vec<RequestId> {
         let mut found = Vec::new();
         let mut ahead = 0.0;
         for &line in &self.order {
@@ -830,7 +840,7 @@
                 let queued =
                     (self.now - r.arrived).secs() > QUEUE_PART * self.set.classes[r.class].aim.secs();
                 if queued && ahead / self.cap + run > left {
-                    found.push((*id, left < 2.0 * run));
+                    found.push(*id);
                 } else {
                     ahead += run;
                 }
@@ -1026,7 +1036,7 @@
                 return;
             };
             if let Some(id) = self.holds[line].pop_back() {
-                self.give_up(id, false);
+                self.give_up(id);
             }
         }
     }
