--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -45,6 +45,8 @@
 const QUEUE_PART: f64 = 0.2;
 /// Run times that must be left for a try elsewhere to be of use.
 const ELSEWHERE: f64 = 2.0;
+/// The most that one request may be reckoned larger or smaller than its class's mean, by its hint.
+const SIZE_MOST: f64 = 4.0;
 /// Seconds without any progress, and the same in run times, after which work counts as stalled.
 const STALL: f64 = 1.0;
 const STALL_RUNS: f64 = 3.0;
@@ -65,8 +67,9 @@
 const LEVEL_UP: f64 = 0.10;
 const LEVEL_DOWN: f64 = 0.04;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Phase {
+    #[default]
     Held,
     Running,
     /// Stands at a call since then, not to be made before.
@@ -77,6 +80,7 @@
     Attached,
 }
 
+#[derive(Default)]
 struct Req {
     class: usize,
     line: usize,
@@ -94,7 +98,6 @@
     ran: bool,
     /// An answer is still owed.
     owed: bool,
-    started: Time,
     /// Seconds spent at calls, and when the last call was reached.
     away: f64,
     reached: Time,
@@ -144,11 +147,7 @@
         self.value += (sample - self.value) * weight.max(1.0 / self.count);
     }
     fn or(&self, guess: f64) -> f64 {
-        if self.count > 0.0 {
-            self.value
-        } else {
-            guess
-        }
+        [guess, self.value][usize::from(self.count > 0.0)]
     }
 }
 
@@ -160,6 +159,7 @@
 }
 
 /// The decisions of one server, from its start to its end.
+#[derive(Default)]
 pub struct Server {
     set: Settings,
     now: Time,
@@ -213,42 +213,16 @@
             rate: t.quota_per_s / servers,
         };
         Server {
-            now: Time(0),
-            born: None,
             random: seed,
-            reqs: BTreeMap::new(),
             holds: vec![VecDeque::new(); 2 * n],
             order: (0..2 * n).collect(),
             controls: (0..n).map(|_| Control { budget: MIN_BUDGET, ..Control::default() }).collect(),
             tenants: set.tenants.iter().map(share).collect(),
             local_part: 1.0 / servers,
-            groups: BTreeMap::new(),
-            links: BTreeMap::new(),
-            entries: 0,
-            memory: 0.0,
-            kb: Mean::default(),
-            on_core: 0,
-            at_calls: 0,
-            calling: 0,
             cap: cores,
-            stretch: Mean::default(),
-            late: Mean::default(),
-            since_cut: 0.0,
-            call_quiet: Mean::default(),
-            call_time: Mean::default(),
             call_cap: 1.0,
-            in_hands: 0.0,
-            hands_at: Time(0),
-            lingering: VecDeque::new(),
-            progress: Time(0),
-            stalled: false,
-            drain: None,
-            level: 0.0,
-            said: 0.0,
-            period_at: Time(0),
-            used_at: Time(0),
-            out: Vec::new(),
             set,
+            ..Server::default()
         }
     }
 
@@ -298,13 +272,9 @@
         let (effect, window) = (class.effect, class.window);
         let arrived = self.now - r.waited;
         let due = r.patience.map_or(arrived + class.give_up, |left| self.now + left);
-        let size = match r.cost {
-            Some(cost) if cost > 0.0 => {
-                self.controls[k].cost.add(cost, SLOW);
-                (cost / self.controls[k].cost.value).clamp(0.25, 4.0)
-            }
-            _ => 1.0,
-        };
+        let cost = r.cost.unwrap_or(1.0).max(1e-6);
+        self.controls[k].cost.add(cost, SLOW);
+        let size = (cost / self.controls[k].cost.value).clamp(1.0 / SIZE_MOST, SIZE_MOST);
         let run = self.controls[k].run.or(RUN_GUESS * class.aim.secs());
         let aim_span = Span::from_secs(class.aim.secs() + class.aim_stretch * run * size).min(class.give_up);
         // A caller that tells its patience tells the age of the first try too; one that waits less than
@@ -327,16 +297,9 @@
             kb: r.held_kb,
             size,
             told: r.patience.is_some(),
-            phase: Phase::Held,
-            ran: false,
             owed: true,
-            started: self.now,
-            away: 0.0,
-            reached: self.now,
-            crowd: 0.0,
-            tries: 0,
-            root: None,
             repeats: r.repeats,
+            ..Req::default()
         };
         self.memory += r.held_kb;
         self.kb.add(r.held_kb, SLOW);
@@ -345,8 +308,8 @@
         if effect == Effect::Keyed {
             admitted = self.link(r.id, &mut req, window);
         }
-        let prior =
-            r.repeats.filter(|p| effect == Effect::Safe && self.reqs.get(p).is_some_and(|q| q.owed && q.ran));
+        let prior = r.repeats.and_then(|p| self.reqs.get(&p)).is_some_and(|q| q.owed && q.ran);
+        let shares = prior && effect == Effect::Safe;
         self.reqs.insert(r.id, req);
         if effect == Effect::Safe && self.set.fresh.0 > 0 && r.has_key && self.entry_fits() {
             self.out.push(Action::Keep { id: r.id, ttl: self.set.fresh });
@@ -354,7 +317,7 @@
         let too_late = self.drain.is_some_and(|(since, _)| arrived > since + self.set.drain_grace);
         if self.now + self.margin() >= due || too_late || !admitted || self.stalled {
             self.give_up(r.id);
-        } else if prior.is_some() || self.group_ran(r.id) {
+        } else if shares || self.group_ran(r.id) {
             self.attach(r.id);
         } else {
             self.holds[line].push_back(r.id);
@@ -490,7 +453,6 @@
         let Some(req) = self.reqs.get_mut(&id) else { return };
         req.phase = Phase::Running;
         req.ran = true;
-        req.started = self.now;
         req.crowd = crowd;
         let control = &mut self.controls[req.class];
         if req.line % 2 == 0 {
@@ -536,15 +498,10 @@
         if self.at_calls == self.calling {
             return;
         }
-        let mut waiting: Vec<(usize, Time, RequestId)> = Vec::new();
-        for (&id, r) in &self.reqs {
-            if let (Phase::AtCall(from), true) = (r.phase, r.owed) {
-                if from <= self.now {
-                    let place = self.order.iter().position(|&l| l == r.line).unwrap_or(0);
-                    waiting.push((place, r.reached, id));
-                }
-            }
-        }
+        let place = |r: &Req| self.order.iter().position(|&l| l == r.line);
+        let ready = |r: &Req| matches!(r.phase, Phase::AtCall(from) if from <= self.now) && r.owed;
+        let at_call = self.reqs.iter().filter(|(_, r)| ready(r));
+        let mut waiting: Vec<_> = at_call.map(|(&id, r)| (place(r), r.reached, id)).collect();
         waiting.sort();
         for (_, reached, id) in waiting {
             let room = self.may_call();
@@ -567,11 +524,10 @@
                     limit = limit.min(Span::from_secs(over.secs() * part));
                 }
                 self.out.push(Action::Call { id, limit: limit.max(Span::from_secs(SWEEP)) });
-                let r = self.reqs.get_mut(&id).expect("listed above");
-                r.phase = Phase::Calling;
-                r.tries += 1;
-                self.count_hands();
                 self.calling += 1;
+                if let Some(r) = self.reqs.get_mut(&id) {
+                    (r.phase, r.tries) = (Phase::Calling, r.tries + 1);
+                }
             }
         }
     }
@@ -611,25 +567,20 @@
         let effect = self.set.classes[req.class].effect;
         let (owed, tries) = (req.owed, req.tries);
         self.call_ended(outcome);
-        match outcome {
-            Outcome::Ok => {
-                self.call_quiet.add(latency.secs(), SLOW);
-                self.call_time.add(latency.secs(), FAST);
-                self.resume(id);
-            }
-            _ => {
-                if outcome == Outcome::Timeout {
-                    self.call_time.add(latency.secs(), FAST);
-                }
-                let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
-                let wait = CALL_BACKOFF * f64::from(1u32 << tries.min(8)) * (0.5 + self.chance());
-                let again = self.now + Span::from_secs(wait);
-                let req = self.reqs.get_mut(&id).expect("found above");
-                req.phase = Phase::AtCall(again);
-                if owed && !never_ran && effect != Effect::Safe {
-                    self.give_up(id);
-                }
-            }
+        if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
+            self.call_time.add(latency.secs(), FAST);
+        }
+        if outcome == Outcome::Ok {
+            self.call_quiet.add(latency.secs(), SLOW);
+            return self.resume(id);
+        }
+        let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        let wait = CALL_BACKOFF * f64::from(1u32 << tries.min(8)) * (0.5 + self.chance());
+        if let Some(req) = self.reqs.get_mut(&id) {
+            req.phase = Phase::AtCall(self.now + Span::from_secs(wait));
+        }
+        if owed && !never_ran && effect != Effect::Safe {
+            self.give_up(id);
         }
     }
 
@@ -667,13 +618,11 @@
             return;
         }
         let Some(req) = self.remove(id) else { return };
-        if req.phase == Phase::Attached {
+        if outcome != Outcome::Ok || req.phase == Phase::Attached {
             return;
         }
-        if outcome == Outcome::Ok {
-            self.progress = self.now;
-        }
-        if outcome != Outcome::Ok || !req.owed {
+        self.progress = self.now;
+        if !req.owed {
             return;
         }
         let cores = self.set.cores.max(1) as f64;
@@ -692,7 +641,8 @@
         }
     }
 
-    /// Nobody waits any longer: what is held is gone, what runs is stopped.
+    /// Nobody waits any longer: what is held is gone, what runs is stopped. What stands at a call ends by
+    /// itself. Keyed work goes on, since a repeat may still want its result.
     fn gone(&mut self, id: RequestId) {
         let Some(req) = self.reqs.get_mut(&id) else { return };
         req.owed = false;
@@ -701,8 +651,10 @@
                 self.remove(id);
                 self.leave_group(id);
             }
-            Phase::Running => self.stop(id),
-            Phase::AtCall(_) | Phase::Calling => {}
+            Phase::Running if self.set.halt != Halt::None && req.root.is_none() => {
+                self.out.push(Action::Stop(id));
+            }
+            _ => {}
         }
     }
 
@@ -710,41 +662,20 @@
     /// again does no harm, else an error. What runs is stopped.
     fn give_up(&mut self, id: RequestId) {
         let group_ran = self.group_ran(id);
-        let Some(req) = self.reqs.get_mut(&id) else { return };
-        if !req.owed {
-            return;
-        }
-        req.owed = false;
+        let Some(req) = self.reqs.get(&id).filter(|r| r.owed) else { return };
         let safe = self.set.classes[req.class].effect == Effect::Safe;
-        let (told, left) = (req.told, (req.aim - self.now).secs());
-        let run = self.run_time(&self.reqs[&id]);
-        let req = &self.reqs[&id];
         let waits_below = matches!(req.phase, Phase::AtCall(_) | Phase::Calling);
         if safe && !waits_below || !req.ran && !group_ran && req.phase != Phase::Attached {
             let away = self.stalled || self.drain.is_some();
             let stay_away = if away { self.set.advice } else { None };
             // Elsewhere is worth a try with enough time left, which is certain only where patience is told.
-            let last = !away && (!told || left < ELSEWHERE * run);
+            let left = (req.aim - self.now).secs();
+            let last = !away && (!req.told || left < ELSEWHERE * self.run_time(req));
             self.out.push(Action::Refuse { id, stay_away, last });
         } else {
             self.out.push(Action::Fail(id));
         }
-        match req.phase {
-            Phase::Held | Phase::Attached => {
-                self.remove(id);
-                self.leave_group(id);
-            }
-            Phase::Running => self.stop(id),
-            Phase::AtCall(_) | Phase::Calling => {}
-        }
-    }
-
-    /// Stops work that nobody waits for. Keyed work goes on: a repeat may still want its result.
-    fn stop(&mut self, id: RequestId) {
-        let keyed = self.reqs.get(&id).is_some_and(|r| r.root.is_some());
-        if self.set.halt != Halt::None && !keyed {
-            self.out.push(Action::Stop(id));
-        }
+        self.gone(id);
     }
 
     /// A try of a keyed request that never ran has ended: with the last such try goes the entry.
@@ -919,7 +850,7 @@
             .map(|(&id, _)| id)
             .collect();
         for id in unwanted {
-            self.stop(id);
+            self.gone(id);
         }
     }
 
@@ -1020,12 +951,8 @@
     /// Running requests on the cores that this server survives: fewer while it may still be cold.
     fn crowd(&self) -> f64 {
         let age = self.born.map_or(0.0, |b| (self.now - b).secs());
-        let warm = if self.set.cold && self.set.warm_up.0 > 0 {
-            let s = self.set.start_capacity;
-            (s + (1.0 - s) * age / self.set.warm_up.secs()).min(1.0)
-        } else {
-            1.0
-        };
+        let start = if self.set.cold { self.set.start_capacity } else { 1.0 };
+        let warm = (start + (1.0 - start) * age / self.set.warm_up.secs().max(SWEEP)).min(1.0);
         self.set.cores as f64 * (1.0 + (self.set.fall_multiple - 1.0) * warm)
     }
 
--- a/crates/heathspur/src/interface.rs
+++ b/crates/heathspur/src/interface.rs
@@ -74,9 +74,10 @@
 }
 
 /// How running work can be stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Halt {
     /// It cannot.
+    #[default]
     None,
     /// It goes back to the hold and starts over.
     Drop,
@@ -85,9 +86,10 @@
 }
 
 /// What requests call while they run.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Dependency {
     /// Nothing.
+    #[default]
     None,
     /// One dependency that all servers share and that can fall over.
     Shared {
@@ -103,9 +105,10 @@
 }
 
 /// What callers make of the free value.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum FreeValue {
     /// Nothing; it must not be set.
+    #[default]
     None,
     /// They send nothing of a lower rank.
     Level,
@@ -116,9 +119,10 @@
 }
 
 /// What the worth of a request is counted by.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WorthBy {
     /// Each request counts once.
+    #[default]
     Request,
     /// Each unit of work counts.
     Work,
@@ -155,7 +159,7 @@
 }
 
 /// Everything a server is told when it starts.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// The classes of requests.
     pub classes: Vec<Class>,
