--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -23,8 +23,8 @@
 const WAIT_FLOOR: f64 = 0.1;
 /// The running cap is multiplied by this when runs stretch or come late.
 const CAP_CUT: f64 = 0.85;
-/// Run time over its quiet level past which the cap is cut: cores shared by half as many again.
-const STRETCH: f64 = 1.6;
+/// Run time over its quiet level past which the cap is cut: cores shared by a third as many again.
+const STRETCH: f64 = 1.3;
 /// Part of the runs past their aim at which the cap is cut.
 const LATE_PART: f64 = 0.25;
 /// Part of the crowd that a server survives which may be in flight.
@@ -261,6 +261,16 @@
         actions.append(&mut self.out);
     }
 
+    /// Run slots that the class is granted before idle ones are lent.
+    pub fn budget(&self, class: ClassId) -> f64 {
+        self.controls.get(class.0).map_or(0.0, |c| c.budget)
+    }
+
+    /// Requests that may be on the cores at once.
+    pub fn cap(&self) -> f64 {
+        self.cap
+    }
+
     // ---- A request comes in ----
 
     fn take(&mut self, r: &Request) {
--- /dev/null
+++ b/crates/heathspur/tests/common/mod.rs
@@ -0,0 +1,346 @@
+//! Settings, a driver and a checker of the four rules that the tests share. The checker knows no speeds: it
+//! holds what the wire's rules say of each request, and fails on the first action that breaks one.
+#![allow(dead_code)]
+
+use heathspur::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub fn ms(n: u64) -> Span {
+    Span(n * 1000)
+}
+
+pub fn class(worth: f64, effect: Effect, calls: bool) -> Class {
+    Class {
+        aim: ms(2000),
+        aim_stretch: 0.0,
+        give_up: ms(6000),
+        worth,
+        late_worth: 0.0,
+        effect,
+        window: if effect == Effect::Keyed { ms(20_000) } else { ms(0) },
+        calls,
+        skip_worth: 0.0,
+    }
+}
+
+/// Four cores, three classes (safe, keyed, unsafe), room for about 60 runs.
+pub fn settings() -> Settings {
+    Settings {
+        classes: vec![
+            class(1.0, Effect::Safe, true),
+            class(4.0, Effect::Keyed, true),
+            class(2.0, Effect::Unsafe, false),
+        ],
+        servers: 4,
+        callers: 2,
+        cores: 4,
+        memory_kb: 5000.0,
+        run_factor: 8.0,
+        key_kb: 20.0,
+        halt: Halt::Drop,
+        start_capacity: 0.2,
+        warm_up: ms(10_000),
+        fall_multiple: 5.0,
+        fall_over: ms(2000),
+        answer_slack: ms(60),
+        drain_grace: ms(1000),
+        dependency: Dependency::Tier,
+        advice: Some(ms(1000)),
+        worst_class_weight: 0.2,
+        tick: ms(2),
+        ..Settings::default()
+    }
+}
+
+pub fn request(id: u64, class: usize) -> Request {
+    Request {
+        id: RequestId(id),
+        class: ClassId(class),
+        tenant: None,
+        has_key: false,
+        patience: None,
+        cost: None,
+        held_kb: 10.0,
+        retry: false,
+        waited: ms(0),
+        repeats: None,
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum State {
+    Held,
+    Running,
+    AtCall,
+    Calling,
+    Attached,
+}
+
+#[derive(Debug)]
+pub struct Known {
+    pub class: usize,
+    pub state: State,
+    pub ran: bool,
+    pub answered: bool,
+    pub arrived: Time,
+    pub due: Time,
+    pub kb: f64,
+    pub since: Time,
+    pub identity: u64,
+    pub may_call: bool,
+}
+
+/// A server, what it was told and what it said.
+pub struct Bench {
+    pub set: Settings,
+    pub server: Server,
+    pub now: Time,
+    pub known: BTreeMap<RequestId, Known>,
+    pub all: Vec<Action>,
+    pub last: Vec<Action>,
+    pub timers: Vec<(Time, Token)>,
+    /// Arrivals of keyed tries that were run, by what they ask.
+    pub keyed_runs: BTreeMap<u64, Time>,
+    pub entries: BTreeMap<u64, (RequestId, Time)>,
+    pub drain: Option<(Time, Time)>,
+    pub answers: BTreeMap<RequestId, usize>,
+    pub wants_call: BTreeSet<RequestId>,
+}
+
+impl Bench {
+    pub fn new(set: Settings) -> Bench {
+        let mut bench = Bench {
+            server: Server::new(set.clone(), 7),
+            set,
+            now: Time(1_000_000_000),
+            known: BTreeMap::new(),
+            all: Vec::new(),
+            last: Vec::new(),
+            timers: Vec::new(),
+            keyed_runs: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            drain: None,
+            answers: BTreeMap::new(),
+            wants_call: BTreeSet::new(),
+        };
+        bench.batch(&[]);
+        bench
+    }
+
+    /// Lets time pass with its timers delivered, and nothing else.
+    pub fn pass(&mut self, span: Span) {
+        let end = self.now + span;
+        while let Some(i) = (0..self.timers.len()).min_by_key(|&i| self.timers[i].0) {
+            if self.timers[i].0 > end {
+                break;
+            }
+            let (at, token) = self.timers.remove(i);
+            self.now = self.now.max(at);
+            self.batch(&[Event::Timer { token, gauges: Gauges::default() }]);
+        }
+        self.now = end;
+    }
+
+    /// A repeat names the entry that a table would name for what it asks; `identity` stands for the key.
+    pub fn arrive(&mut self, mut r: Request, identity: u64) {
+        let arrived = self.now - r.waited;
+        if self.set.classes[r.class.0].effect == Effect::Keyed && r.repeats.is_none() {
+            let entry = self.entries.get(&identity).filter(|(_, until)| *until >= arrived);
+            r.repeats = entry.map(|(id, _)| *id);
+        }
+        self.track(&r, identity);
+        self.batch(&[Event::Request(r)]);
+    }
+
+    pub fn track(&mut self, r: &Request, identity: u64) {
+        let class = &self.set.classes[r.class.0];
+        let arrived = self.now - r.waited;
+        let due = r.patience.map_or(arrived + class.give_up, |p| self.now + p).max(self.now);
+        let known = Known {
+            class: r.class.0,
+            state: State::Held,
+            ran: false,
+            answered: false,
+            arrived,
+            due,
+            kb: r.held_kb,
+            since: self.now,
+            identity,
+            may_call: true,
+        };
+        self.known.insert(r.id, known);
+    }
+
+    pub fn done(&mut self, id: u64, outcome: Outcome) {
+        let id = RequestId(id);
+        let Some(k) = self.known.remove(&id) else { return };
+        if !k.answered && matches!(outcome, Outcome::Ok | Outcome::Error) {
+            *self.answers.entry(id).or_default() += 1;
+        }
+        let latency = self.now - k.since;
+        self.batch(&[Event::Done { id, outcome, latency }]);
+    }
+
+    pub fn needs_call(&mut self, id: u64) {
+        let k = self.known.get_mut(&RequestId(id)).expect("known");
+        k.state = State::AtCall;
+        k.may_call = true;
+        self.batch(&[Event::NeedsCall(RequestId(id))]);
+    }
+
+    pub fn called(&mut self, id: u64, outcome: Outcome) {
+        let safe = {
+            let k = self.known.get(&RequestId(id)).expect("known");
+            self.set.classes[k.class].effect == Effect::Safe
+        };
+        let k = self.known.get_mut(&RequestId(id)).expect("known");
+        let latency = self.now - k.since;
+        k.state = if outcome == Outcome::Ok { State::Running } else { State::AtCall };
+        let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        k.may_call = safe || never_ran;
+        self.batch(&[Event::Called { id: RequestId(id), outcome, latency }]);
+    }
+
+    pub fn gone(&mut self, id: u64) {
+        let id = RequestId(id);
+        if let Some(k) = self.known.get_mut(&id) {
+            k.answered = true;
+            if matches!(k.state, State::Held | State::Attached) {
+                self.known.remove(&id);
+            }
+        }
+        self.batch(&[Event::Gone(id)]);
+    }
+
+    pub fn leave(&mut self, left: Span) {
+        self.drain = Some((self.now, self.now + left));
+        self.batch(&[Event::Drain(left)]);
+    }
+
+    pub fn batch(&mut self, events: &[Event]) {
+        self.last.clear();
+        let mut actions = Vec::new();
+        self.server.decide(self.now, events, &mut actions);
+        for action in &actions {
+            self.apply(action);
+        }
+        self.all.extend(actions.iter().cloned());
+        self.last = actions;
+        self.check();
+    }
+
+    fn answer(&mut self, id: RequestId) {
+        let now = self.now;
+        let k = self.known.get_mut(&id).unwrap_or_else(|| panic!("answered {id:?}, which is not known"));
+        assert!(!k.answered, "{id:?} answered twice");
+        assert!(now <= k.due + self.set.answer_slack, "{id:?} answered after its due time");
+        k.answered = true;
+        *self.answers.entry(id).or_default() += 1;
+        if matches!(k.state, State::Held | State::Attached) {
+            self.known.remove(&id);
+        }
+    }
+
+    fn apply(&mut self, action: &Action) {
+        match action {
+            Action::Run(id) => {
+                let now = self.now;
+                let k = self.known.get_mut(id).unwrap_or_else(|| panic!("ran {id:?}, which is not known"));
+                assert_eq!(k.state, State::Held, "{id:?} run while it is not held");
+                let effect = self.set.classes[k.class].effect;
+                assert!(effect == Effect::Safe || !k.ran, "{id:?} run again");
+                if effect == Effect::Keyed {
+                    let window = self.set.classes[k.class].window;
+                    if let Some(&before) = self.keyed_runs.get(&k.identity) {
+                        assert!(k.arrived > before + window, "{id:?}: an effect twice in its window");
+                    }
+                    self.keyed_runs.insert(k.identity, k.arrived);
+                }
+                if let Some((since, _)) = self.drain {
+                    assert!(k.arrived <= since + self.set.drain_grace, "{id:?} run past the grace");
+                }
+                (k.state, k.ran, k.since) = (State::Running, true, now);
+            }
+            Action::Stop(id) => {
+                assert_ne!(self.set.halt, Halt::None, "stopped where nothing can be");
+                if let Some(k) = self.known.get_mut(id).filter(|k| k.state == State::Running) {
+                    if k.answered {
+                        self.known.remove(id);
+                    } else {
+                        k.state = State::Held;
+                    }
+                }
+            }
+            Action::Refuse { id, .. } => {
+                let k = &self.known[id];
+                let safe = self.set.classes[k.class].effect == Effect::Safe;
+                assert!(safe || !k.ran, "{id:?} refused after it ran");
+                if self.set.classes[k.class].effect == Effect::Keyed {
+                    let window = self.set.classes[k.class].window;
+                    let ran = self.keyed_runs.get(&k.identity).is_some_and(|&at| k.arrived <= at + window);
+                    assert!(!ran, "{id:?} refused though a try of it ran");
+                }
+                self.answer(*id);
+            }
+            Action::Fail(id) => self.answer(*id),
+            Action::Call { id, .. } => {
+                let now = self.now;
+                let k = self.known.get_mut(id).expect("calls for what is known");
+                assert_eq!(k.state, State::AtCall, "{id:?} stands at no call");
+                assert!(k.may_call, "{id:?}: a call repeated that may have run");
+                (k.state, k.since) = (State::Calling, now);
+            }
+            Action::Skip(id) => {
+                let k = self.known.get_mut(id).expect("skips for what is known");
+                assert!(self.set.classes[k.class].skip_worth > 0.0, "{id:?} skipped a call it needs");
+                k.state = State::Running;
+            }
+            Action::Keep { id, ttl } => {
+                let k = &self.known[id];
+                self.entries.insert(k.identity, (*id, self.now + *ttl));
+            }
+            Action::Forget(id) => self.entries.retain(|_, (entry, _)| entry != id),
+            Action::Reuse(id) => self.known.get_mut(id).expect("known").state = State::Attached,
+            Action::Timer { after, token } => self.timers.push((self.now + *after, *token)),
+            Action::Say(_) => assert_ne!(self.set.free_value, FreeValue::None),
+            Action::Health { .. } | Action::CloseIdle(_) | Action::Log(_) => {}
+        }
+    }
+
+    /// What must hold after every batch.
+    fn check(&self) {
+        let now = self.now;
+        let mut memory = 0.0;
+        for (id, k) in &self.known {
+            let running = matches!(k.state, State::Running | State::AtCall | State::Calling);
+            memory += k.kb * if running { self.set.run_factor } else { 1.0 };
+            assert!(k.answered || now <= k.due + self.set.answer_slack, "{id:?} lost: {k:?}");
+            if let Some((_, stop)) = self.drain {
+                assert!(k.answered || now < stop, "{id:?} not answered before the stop");
+            }
+        }
+        memory += self.entries.values().filter(|(_, until)| *until >= now).count() as f64 * self.set.key_kb;
+        assert!(memory <= self.set.memory_kb, "memory {memory} over {}", self.set.memory_kb);
+        let crowd = self.known.values().filter(|k| k.state == State::Running).count() as f64;
+        let limit = self.set.cores as f64 * self.set.fall_multiple;
+        assert!(crowd <= limit, "{crowd} on the cores, {limit} survivable");
+    }
+
+    pub fn running(&self) -> Vec<u64> {
+        self.in_state(State::Running)
+    }
+
+    pub fn in_state(&self, state: State) -> Vec<u64> {
+        self.known.iter().filter(|(_, k)| k.state == state).map(|(id, _)| id.0).collect()
+    }
+
+    pub fn ran(&self) -> Vec<u64> {
+        let run = |a: &Action| if let Action::Run(id) = a { Some(id.0) } else { None };
+        self.all.iter().filter_map(run).collect()
+    }
+
+    pub fn refused(&self) -> Vec<u64> {
+        let refused = |a: &Action| if let Action::Refuse { id, .. } = a { Some(id.0) } else { None };
+        self.all.iter().filter_map(refused).collect()
+    }
+}
--- /dev/null
+++ b/crates/heathspur/tests/guards.rs
@@ -0,0 +1,276 @@
+//! The guards of the four rules, one situation each.
+
+mod common;
+use common::*;
+use heathspur::*;
+
+#[test]
+fn running_work_is_failed_by_its_due_time() {
+    let mut b = Bench::new(settings());
+    b.arrive(request(1, 1), 1);
+    b.arrive(request(2, 2), 2);
+    b.pass(ms(8000));
+    assert!(b.all.contains(&Action::Fail(RequestId(1))) && b.all.contains(&Action::Fail(RequestId(2))));
+}
+
+#[test]
+fn a_request_read_after_its_due_time_is_answered_at_once() {
+    let mut b = Bench::new(settings());
+    b.arrive(Request { waited: ms(7000), ..request(1, 0) }, 1);
+    assert_eq!(b.refused(), [1]);
+}
+
+#[test]
+fn a_request_at_a_call_is_failed_by_its_due_time() {
+    let mut b = Bench::new(settings());
+    b.arrive(request(1, 1), 1);
+    b.needs_call(1);
+    b.pass(ms(8000));
+    assert!(b.all.contains(&Action::Fail(RequestId(1))));
+}
+
+#[test]
+fn a_repeat_of_what_runs_gets_its_result() {
+    let mut b = Bench::new(settings());
+    b.arrive(request(1, 1), 77);
+    b.arrive(request(2, 1), 77);
+    assert_eq!(b.ran(), [1]);
+    assert!(b.last.contains(&Action::Reuse(RequestId(2))));
+}
+
+#[test]
+fn a_repeat_of_what_ran_long_ago_gets_its_result() {
+    let mut b = Bench::new(settings());
+    b.arrive(request(1, 1), 77);
+    b.done(1, Outcome::Ok);
+    b.pass(ms(19_000));
+    b.arrive(request(2, 1), 77);
+    assert!(b.last.contains(&Action::Reuse(RequestId(2))));
+}
+
+#[test]
+fn repeats_in_one_batch_and_in_a_chain_run_once() {
+    let mut b = Bench::new(settings());
+    let r = |id, prior: Option<u64>| Request { repeats: prior.map(RequestId), ..request(id, 1) };
+    let tries = [r(1, None), r(2, Some(1)), r(3, Some(2))];
+    for t in &tries {
+        b.track(t, 77);
+    }
+    b.batch(&tries.map(Event::Request));
+    assert_eq!(b.ran(), [1]);
+    assert_eq!(b.in_state(State::Attached), [2, 3]);
+}
+
+#[test]
+fn a_held_repeat_outlives_the_first_try() {
+    let mut b = Bench::new(settings());
+    for id in 1..=4 {
+        b.arrive(request(id, 2), id);
+    }
+    b.arrive(request(10, 1), 77);
+    b.pass(ms(300));
+    b.arrive(request(11, 1), 77);
+    b.gone(10);
+    b.done(1, Outcome::Ok);
+    assert_eq!(b.ran().last(), Some(&11));
+    assert!(b.entries.contains_key(&77), "its entry went with the first try");
+}
+
+#[test]
+fn a_repeat_of_something_unknown_never_runs() {
+    let mut b = Bench::new(settings());
+    b.arrive(Request { repeats: Some(RequestId(999)), ..request(1, 1) }, 5);
+    assert!(b.ran().is_empty());
+    b.pass(ms(8000));
+    assert!(b.refused().is_empty());
+    assert!(b.all.contains(&Action::Fail(RequestId(1))));
+}
+
+#[test]
+fn a_refused_key_leaves_the_table() {
+    let mut b = Bench::new(settings());
+    for id in 1..=4 {
+        b.arrive(request(id, 2), id);
+    }
+    b.arrive(request(10, 1), 77);
+    b.pass(ms(2000));
+    assert_eq!(b.refused(), [10]);
+    assert!(b.all.contains(&Action::Forget(RequestId(10))));
+}
+
+#[test]
+fn keys_may_fill_memory_but_leave_room_for_runs() {
+    let mut set = settings();
+    set.classes[1].calls = false;
+    let mut b = Bench::new(set);
+    for id in 1..300 {
+        b.arrive(request(id, 1), id);
+        b.pass(ms(5));
+        b.done(id, Outcome::Ok);
+    }
+    let kept = b.entries.len() as f64 * b.set.key_kb;
+    assert!(kept > 0.7 * b.set.memory_kb, "keys use only {kept}");
+    assert!(!b.refused().is_empty(), "nothing was ever refused for want of an entry");
+    let before = b.ran().len();
+    b.arrive(request(500, 2), 500);
+    assert_eq!(b.ran().len(), before + 1, "no room left to run");
+}
+
+#[test]
+fn a_call_that_may_have_run_is_not_repeated_for_a_write() {
+    for outcome in [Outcome::Error, Outcome::Timeout, Outcome::Reset] {
+        let mut b = Bench::new(settings());
+        b.arrive(request(1, 1), 1);
+        b.needs_call(1);
+        b.called(1, outcome);
+        assert!(b.last.contains(&Action::Fail(RequestId(1))), "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_call_proven_not_run_is_repeated_after_a_pause() {
+    for outcome in [Outcome::Full, Outcome::ConnectFailed] {
+        let mut b = Bench::new(settings());
+        b.arrive(request(1, 1), 1);
+        b.needs_call(1);
+        b.called(1, outcome);
+        assert!(!b.last.iter().any(|a| matches!(a, Action::Call { .. })), "no pause");
+        b.pass(ms(500));
+        assert_eq!(b.in_state(State::Calling), [1], "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_skippable_call_is_left_out_when_it_keeps_failing() {
+    let mut set = settings();
+    set.classes[0].skip_worth = 0.6;
+    let mut b = Bench::new(set);
+    b.arrive(request(1, 0), 1);
+    b.needs_call(1);
+    for _ in 0..2 {
+        b.called(1, Outcome::Full);
+        b.pass(ms(400));
+    }
+    assert!(b.all.contains(&Action::Skip(RequestId(1))));
+}
+
+#[test]
+fn calls_at_once_stay_under_our_part_of_a_shared_dependency() {
+    let mut set = settings();
+    set.dependency = Dependency::Shared { part: 2.5, over: ms(5000), linger: ms(200) };
+    let mut b = Bench::new(set);
+    for id in 1..=4 {
+        b.arrive(request(id, 0), id);
+    }
+    for id in 1..=4 {
+        b.needs_call(id);
+    }
+    for _ in 0..40 {
+        b.pass(ms(100));
+        assert!(b.in_state(State::Calling).len() <= 2);
+        let calling = b.in_state(State::Calling);
+        if let Some(&id) = calling.first() {
+            b.called(id, Outcome::Ok);
+            if b.known.contains_key(&RequestId(id)) {
+                b.needs_call(id);
+            }
+        }
+    }
+}
+
+#[test]
+fn an_abandoned_call_counts_while_it_lingers() {
+    let mut set = settings();
+    set.dependency = Dependency::Shared { part: 1.0, over: ms(5000), linger: ms(200) };
+    let mut b = Bench::new(set);
+    b.arrive(request(1, 0), 1);
+    b.arrive(request(2, 0), 2);
+    b.needs_call(1);
+    b.called(1, Outcome::Timeout);
+    b.needs_call(2);
+    assert!(b.in_state(State::Calling).is_empty(), "called while ours still lingers");
+    b.pass(ms(400));
+    assert_eq!(b.in_state(State::Calling).len(), 1);
+}
+
+#[test]
+fn late_arrivals_are_refused_in_a_drain_and_all_is_answered_before_the_stop() {
+    let mut b = Bench::new(settings());
+    for id in 1..=8 {
+        b.arrive(request(id, 2), id);
+    }
+    b.leave(ms(3000));
+    assert!(b.last.contains(&Action::Health { good: false, stored: true }));
+    b.pass(ms(1500));
+    let ran = b.ran().len();
+    b.done(1, Outcome::Ok);
+    b.arrive(request(50, 1), 50);
+    assert!(b.refused().contains(&50));
+    assert!(!b.ran()[ran..].contains(&50));
+    b.pass(ms(2000));
+    assert!(b.known.values().all(|k| k.answered));
+}
+
+#[test]
+fn a_stall_turns_health_bad_sends_work_elsewhere_and_ends_with_progress() {
+    let mut b = Bench::new(settings());
+    for id in 1..=4 {
+        b.arrive(request(id, 2), id);
+    }
+    b.arrive(request(9, 0), 9);
+    b.pass(ms(1500));
+    assert!(b.all.contains(&Action::Health { good: false, stored: true }));
+    assert_eq!(b.refused(), [9]);
+    b.arrive(request(10, 0), 10);
+    let away = Action::Refuse { id: RequestId(10), stay_away: Some(ms(1000)), last: false };
+    assert!(b.last.contains(&away), "{:?}", b.last);
+    b.done(1, Outcome::Ok);
+    b.pass(ms(100));
+    b.arrive(request(11, 0), 11);
+    assert!(b.running().contains(&11));
+    let health = b.all.iter().filter(|a| matches!(a, Action::Health { .. })).count();
+    assert_eq!(health, 3, "flapped");
+}
+
+#[test]
+fn a_cold_server_keeps_a_smaller_crowd() {
+    let mut set = settings();
+    set.cold = true;
+    let mut b = Bench::new(set);
+    for id in 1..=40 {
+        b.arrive(request(id, 2), id);
+    }
+    // 4 cores x (1 + 4 x 0.2) = 7.2 survivable.
+    assert!(b.running().len() <= 5, "{}", b.running().len());
+}
+
+#[test]
+fn memory_sheds_the_newest_of_the_least_worth() {
+    let mut set = settings();
+    set.memory_kb = 800.0;
+    let mut b = Bench::new(set);
+    for id in 1..=6 {
+        b.arrive(request(id, 2), id);
+    }
+    for id in 10..80 {
+        b.arrive(request(id, 0), id);
+    }
+    assert!(b.refused().contains(&79) && !b.refused().contains(&5));
+}
+
+#[test]
+fn events_of_finished_requests_are_harmless() {
+    let mut b = Bench::new(settings());
+    b.arrive(request(1, 0), 1);
+    b.done(1, Outcome::Ok);
+    let id = RequestId(1);
+    b.batch(&[
+        Event::Done { id, outcome: Outcome::Ok, latency: ms(1) },
+        Event::NeedsCall(id),
+        Event::Called { id, outcome: Outcome::Ok, latency: ms(1) },
+        Event::Gone(id),
+        Event::Timer { token: Token(99), gauges: Gauges::default() },
+    ]);
+    b.arrive(request(2, 0), 2);
+    assert_eq!(b.running(), [2]);
+}
--- /dev/null
+++ b/crates/heathspur/tests/rules.rs
@@ -0,0 +1,162 @@
+//! The four rules under random but legal events: whatever comes, the checker finds no breach.
+
+mod common;
+use common::*;
+use heathspur::*;
+use proptest::prelude::*;
+
+#[derive(Clone, Debug)]
+enum Op {
+    Arrive { class: usize, identity: u64, waited: u64, patience: Option<u64>, retry: bool, kb: u64 },
+    Together { identity: u64, tries: u64 },
+    Done { pick: usize, ok: bool },
+    NeedsCall { pick: usize },
+    Called { pick: usize, outcome: Outcome },
+    Gone { pick: usize },
+    Pass { span: u64 },
+    Leave,
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let outcome = prop_oneof![
+        4 => Just(Outcome::Ok),
+        1 => Just(Outcome::Full),
+        1 => Just(Outcome::Error),
+        1 => Just(Outcome::Timeout),
+        1 => Just(Outcome::Reset),
+        1 => Just(Outcome::ConnectFailed),
+    ];
+    prop_oneof![
+        8 => (0usize..3, 0u64..6, 0u64..1500, prop::option::of(1u64..7000), any::<bool>(), 1u64..60).prop_map(
+            |(class, identity, waited, patience, retry, kb)| {
+                Op::Arrive { class, identity, waited, patience, retry, kb }
+            }
+        ),
+        1 => (0u64..6, 2u64..5).prop_map(|(identity, tries)| Op::Together { identity, tries }),
+        4 => (any::<usize>(), prop::bool::weighted(0.9)).prop_map(|(pick, ok)| Op::Done { pick, ok }),
+        3 => any::<usize>().prop_map(|pick| Op::NeedsCall { pick }),
+        3 => (any::<usize>(), outcome).prop_map(|(pick, outcome)| Op::Called { pick, outcome }),
+        1 => any::<usize>().prop_map(|pick| Op::Gone { pick }),
+        5 => (1u64..700).prop_map(|span| Op::Pass { span }),
+        1 => prop::bool::weighted(0.05).prop_map(|l| if l { Op::Leave } else { Op::Pass { span: 50 } }),
+    ]
+}
+
+fn world() -> impl Strategy<Value = Settings> {
+    let halt = prop_oneof![Just(Halt::None), Just(Halt::Drop), Just(Halt::Pause)];
+    let below = prop_oneof![
+        Just(Dependency::Tier),
+        Just(Dependency::Shared { part: 2.4, over: ms(5000), linger: ms(200) }),
+        Just(Dependency::Shared { part: 0.6, over: ms(5000), linger: ms(200) }),
+    ];
+    let say = prop_oneof![
+        Just(FreeValue::None),
+        Just(FreeValue::Level),
+        Just(FreeValue::Credit),
+        Just(FreeValue::Weight)
+    ];
+    let memory = prop_oneof![Just(900.0), Just(5000.0)];
+    (halt, below, say, memory, any::<bool>(), any::<bool>()).prop_map(
+        |(halt, below, say, memory, cold, skip)| {
+            let mut set = settings();
+            (set.halt, set.dependency, set.free_value, set.memory_kb) = (halt, below, say, memory);
+            set.cold = cold;
+            set.classes[0].skip_worth = if skip { 0.6 } else { 0.0 };
+            set.classes[0].late_worth = if skip { 0.2 } else { 0.0 };
+            set
+        },
+    )
+}
+
+fn nth(ids: Vec<u64>, pick: usize) -> Option<u64> {
+    (!ids.is_empty()).then(|| ids[pick % ids.len()])
+}
+
+fn play(set: Settings, ops: &[Op]) -> Bench {
+    let mut b = Bench::new(set);
+    let mut next = 1;
+    for op in ops {
+        match op.clone() {
+            Op::Arrive { class, identity, waited, patience, retry, kb } => {
+                let r = Request {
+                    waited: ms(waited),
+                    patience: patience.map(ms),
+                    retry,
+                    held_kb: kb as f64,
+                    ..request(next, class)
+                };
+                b.arrive(r, identity);
+                next += 1;
+            }
+            Op::Together { identity, tries } => {
+                let mut events = Vec::new();
+                for i in 0..tries {
+                    let mut r = request(next, 1);
+                    let entry = b.entries.get(&identity).filter(|(_, until)| *until >= b.now);
+                    r.repeats = if i > 0 { Some(RequestId(next - 1)) } else { entry.map(|(id, _)| *id) };
+                    b.track(&r, identity);
+                    events.push(Event::Request(r));
+                    next += 1;
+                }
+                b.batch(&events);
+            }
+            Op::Done { pick, ok } => {
+                let mut ids = b.running();
+                ids.extend(b.in_state(State::Attached));
+                if let Some(id) = nth(ids, pick) {
+                    b.done(id, if ok { Outcome::Ok } else { Outcome::Error });
+                }
+            }
+            Op::NeedsCall { pick } => {
+                let calls = |id: &u64| b.set.classes[b.known[&RequestId(*id)].class].calls;
+                if let Some(id) = nth(b.running().into_iter().filter(calls).collect(), pick) {
+                    if b.known[&RequestId(id)].answered {
+                        b.done(id, Outcome::Cancelled);
+                    } else {
+                        b.needs_call(id);
+                    }
+                }
+            }
+            Op::Called { pick, outcome } => {
+                if let Some(id) = nth(b.in_state(State::Calling), pick) {
+                    if b.known[&RequestId(id)].answered {
+                        b.done(id, Outcome::Cancelled);
+                    } else {
+                        b.called(id, outcome);
+                    }
+                }
+            }
+            Op::Gone { pick } => {
+                let open = b.known.iter().filter(|(_, k)| !k.answered).map(|(id, _)| id.0).collect();
+                if let Some(id) = nth(open, pick) {
+                    b.gone(id);
+                }
+            }
+            Op::Pass { span } => b.pass(ms(span)),
+            Op::Leave => {
+                if b.drain.is_none() {
+                    b.leave(ms(4000));
+                }
+            }
+        }
+        // A process that has been stopped plays no further part.
+        if b.drain.is_some_and(|(_, stop)| b.now + ms(700) >= stop) {
+            let left = b.drain.map_or(ms(0), |(_, stop)| stop - b.now);
+            b.pass(left);
+            return b;
+        }
+    }
+    b.pass(ms(9000));
+    b
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_rule_breaks_and_all_is_answered_once(set in world(), ops in prop::collection::vec(op(), 1..160)) {
+        let b = play(set, &ops);
+        prop_assert!(b.answers.values().all(|&n| n == 1));
+        prop_assert!(b.known.values().all(|k| k.answered), "left unanswered: {:?}", b.known);
+    }
+}
