--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -23,8 +23,8 @@
 const WAIT_FLOOR: f64 = 0.1;
 /// The running cap is multiplied by this when runs stretch or come late.
 const CAP_CUT: f64 = 0.85;
-/// Run time over its quiet level past which the cap is cut: cores shared by a third as many again.
-const STRETCH: f64 = 1.3;
+/// Run time over its quiet level past which the cap is cut: cores shared by a seventh as many again.
+const STRETCH: f64 = 1.15;
 /// Part of the runs past their aim at which the cap is cut.
 const LATE_PART: f64 = 0.25;
 /// Part of the crowd that a server survives which may be in flight.
@@ -646,7 +646,7 @@
         self.late.add(f64::from(u8::from(!in_time)), FAST);
         self.since_cut += 1.0;
         let waiting = self.holds.iter().any(|h| !h.is_empty());
-        if in_time && waiting {
+        if in_time && waiting && self.stretch.value <= STRETCH {
             self.cap = (self.cap + 1.0 / self.cap).min(self.crowd() * CROWD_PART);
         }
     }
