--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -17,7 +17,8 @@
 const LAG: f64 = 0.30;
 /// Slots that a class keeps however low its control falls, so that none starves unseen.
 const MIN_BUDGET: f64 = 1.0;
-/// The wanted wait W_k, as a part of the aim less the run time; the rest absorbs uneven runs.
+/// The wanted wait W_k, as a part of the aim less the run time. Held work is refused at the whole of that, so
+/// with 1 no start would ever count as late and control would stand idle.
 const WAIT_SHARE: f64 = 0.5;
 /// The least wanted wait, as a part of the aim.
 const WAIT_FLOOR: f64 = 0.1;
@@ -171,7 +172,6 @@
     order: Vec<usize>,
     controls: Vec<Control>,
     tenants: Vec<TenantShare>,
-    local_part: f64,
     groups: BTreeMap<RequestId, Group>,
     links: BTreeMap<RequestId, RequestId>,
     entries: usize,
@@ -207,10 +207,9 @@
     pub fn new(set: Settings, seed: u64) -> Server {
         let (n, cores) = (set.classes.len(), set.cores.max(1) as f64);
         let servers = set.servers.max(1) as f64;
-        let share = |t: &Tenant| TenantShare {
-            tokens: t.quota_per_s * QUOTA_BURST / servers,
-            arrivals: 0.0,
-            rate: t.quota_per_s / servers,
+        let share = |t: &Tenant| {
+            let rate = t.quota_per_s / servers;
+            TenantShare { tokens: rate * QUOTA_BURST, arrivals: 0.0, rate }
         };
         Server {
             random: seed,
@@ -218,7 +217,6 @@
             order: (0..2 * n).collect(),
             controls: (0..n).map(|_| Control { budget: MIN_BUDGET, ..Control::default() }).collect(),
             tenants: set.tenants.iter().map(share).collect(),
-            local_part: 1.0 / servers,
             cap: cores,
             call_cap: 1.0,
             set,
@@ -341,13 +339,9 @@
         let Some(t) = self.tenants.get_mut(tenant) else {
             return true;
         };
-        let within = t.tokens >= 1.0;
-        if !retry {
-            t.arrivals += 1.0;
-            if within {
-                t.tokens -= 1.0;
-            }
-        }
+        let (within, spent) = (t.tokens >= 1.0, f64::from(u8::from(!retry)));
+        t.arrivals += spent;
+        t.tokens -= if within { spent } else { 0.0 };
         within
     }
 
@@ -422,8 +416,7 @@
                 return;
             }
             let calls_full = (self.at_calls + cap) as f64 >= ceiling;
-            let mut lent = None;
-            let mut chosen = None;
+            let (mut chosen, mut lent) = (None, None);
             for i in 0..self.order.len() {
                 let line = self.order[i];
                 if calls_full && self.set.classes[line / 2].calls || !self.trim(line) {
@@ -461,9 +454,7 @@
     fn start(&mut self, id: RequestId, extra: f64) {
         let crowd = self.on_core as f64 + 1.0;
         let Some(req) = self.reqs.get_mut(&id) else { return };
-        req.phase = Phase::Running;
-        req.ran = true;
-        req.crowd = crowd;
+        (req.phase, req.ran, req.crowd) = (Phase::Running, true, crowd);
         let control = &mut self.controls[req.class];
         if req.line % 2 == 0 {
             control.wait_sum += (self.now - req.arrived).secs();
@@ -495,9 +486,7 @@
         if req.phase != Phase::Running {
             return;
         }
-        req.phase = Phase::AtCall(self.now);
-        req.reached = self.now;
-        req.tries = 0;
+        (req.phase, req.reached, req.tries) = (Phase::AtCall(self.now), self.now, 0);
         self.on_core -= 1;
         self.at_calls += 1;
         self.controls[req.class].running -= 1;
@@ -638,8 +627,10 @@
         let cores = self.set.cores.max(1) as f64;
         let control = &mut self.controls[req.class];
         let own = (latency.secs() - req.away).max(0.0) / req.size;
-        let crowd = (0.5 * (req.crowd + self.on_core as f64 + 1.0) / cores).max(1.0);
-        control.quiet.add(own / crowd, SLOW);
+        // Only a run that shared no core tells the quiet level; the cap comes down to the cores for it.
+        if req.crowd.max(self.on_core as f64 + 1.0) <= cores || control.quiet.count == 0.0 {
+            control.quiet.add(own, SLOW);
+        }
         control.run.add(latency.secs() / req.size, 0.05);
         self.stretch.add(own / control.quiet.value.max(1e-6), FAST);
         let in_time = self.now <= req.aim;
@@ -746,10 +737,7 @@
             let class = &self.set.classes[r.class];
             let due = self.now + margin >= r.due;
             let ends = match r.phase {
-                // What waits still could not be run in time for its worth any more.
-                Phase::Held => {
-                    due || self.stalled || self.now + Span::from_secs(self.run_time(r)) > r.aim.min(r.due)
-                }
+                Phase::Held => due || self.stalled,
                 // Late work that earns nothing makes room; writes are seen through while somebody waits.
                 Phase::Running => {
                     let safe = class.effect == Effect::Safe;
@@ -766,8 +754,8 @@
         }
     }
 
-    /// Held requests that the work ahead of them will keep past their aim. They go once they have queued for
-    /// a while, and free the reading and memory that they would cost. In vain where the work ahead ends early.
+    /// Held requests with too little time left for their worth: for the run itself, or, once they have queued
+    /// for a while, for the work ahead and the run. In vain where the work ahead ends early.
     fn hopeless(&self) -> Vec<RequestId> {
         let mut found = Vec::new();
         let mut ahead = 0.0;
@@ -778,9 +766,9 @@
                 };
                 let run = self.run_time(r);
                 let left = (r.aim.min(r.due) - self.now).secs();
-                let queued =
-                    (self.now - r.arrived).secs() > QUEUE_PART * self.set.classes[r.class].aim.secs();
-                if queued && ahead / self.cap + run > left {
+                let aim = self.set.classes[r.class].aim.secs();
+                let queued = (self.now - r.arrived).secs() > QUEUE_PART * aim;
+                if run > left || queued && ahead / self.cap + run > left {
                     found.push(*id);
                 } else {
                     ahead += run;
@@ -900,9 +888,9 @@
             parts.push(t.rate / quota.quota_per_s.max(1e-6));
         }
         parts.sort_by(f64::total_cmp);
-        self.local_part = parts[(parts.len() - 1) / 2].max(1.0 / self.set.servers.max(1) as f64);
+        let part = parts[(parts.len() - 1) / 2].max(1.0 / self.set.servers.max(1) as f64);
         for (t, quota) in self.tenants.iter_mut().zip(&self.set.tenants) {
-            let rate = quota.quota_per_s * self.local_part;
+            let rate = quota.quota_per_s * part;
             t.tokens = (t.tokens + rate * passed).min((rate * QUOTA_BURST).max(1.0));
         }
     }
@@ -941,11 +929,11 @@
         match self.set.free_value {
             FreeValue::None => {}
             FreeValue::Level => self.say(if leaving { 1.0 } else { self.level }),
+            FreeValue::Weight => self.say(if leaving { 0.0 } else { 1.0 - self.level }),
+            FreeValue::Credit if leaving => self.say(0.0),
             FreeValue::Credit => {
-                let room = 2.0 * self.cap * (1.0 - self.level);
-                self.say(if leaving { 0.0 } else { room / self.set.callers.max(1) as f64 });
+                self.say(2.0 * self.cap * (1.0 - self.level) / self.set.callers.max(1) as f64)
             }
-            FreeValue::Weight => self.say(if leaving { 0.0 } else { 1.0 - self.level }),
         }
     }
 
--- a/crates/heathspur/tests/path.rs
+++ b/crates/heathspur/tests/path.rs
@@ -137,9 +137,16 @@
         fill(b, next, n, 0);
         next += n;
     };
+    for _ in 0..20 {
+        feed(&mut b, 1);
+        b.pass(ms(400));
+        let id = b.running()[0];
+        b.done(id, Outcome::Ok);
+    }
     feed(&mut b, 8);
-    for _ in 0..40 {
-        b.pass(ms(100));
+    // Runs that take the same however many there are: the cores are not what they wait for.
+    for _ in 0..60 {
+        b.pass(Span(400_000 / b.running().len() as u64));
         let id = b.running()[0];
         b.done(id, Outcome::Ok);
         feed(&mut b, 1);
