Ask callers to stay away for half the longest advice with every refusal

Cause: refusals answer fast and drew balancers that pick the fastest, or by measured use, to the fullest server; the busiest carried 2 to 4.6 times the mean while others idled. Hurts where all servers are full.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -44,6 +44,8 @@
 const RUN_MOST: f64 = 0.5;
 /// Part of its aim that a request queues before the work ahead of it may have it turned away.
 const QUEUE_PART: f64 = 0.2;
+/// Part of the longest advice to stay away that a refusal for want of room carries.
+const ADVICE_PART: f64 = 0.5;
 /// Run times that must be left for a try elsewhere to be of use.
 const ELSEWHERE: f64 = 2.0;
 /// The most that one request may be reckoned larger or smaller than its class's mean, by its hint.
@@ -668,7 +670,10 @@
         let waits_below = matches!(req.phase, Phase::AtCall(_) | Phase::Calling);
         if safe && !waits_below || !req.ran && !group_ran && req.phase != Phase::Attached {
             let away = self.stalled || self.drain.is_some();
-            let stay_away = if away { self.set.advice } else { None };
+            // Refusals answer fast, so a caller that picks the fastest would send more. Hurts where all
+            // servers are full and callers turn everything away themselves.
+            let part = if away { 1.0 } else { ADVICE_PART };
+            let stay_away = self.set.advice.map(|most| Span::from_secs(most.secs() * part));
             // Elsewhere is worth a try with enough time left, which is certain only where patience is told.
             let left = (req.aim - self.now).secs();
             let last = !away && (!req.told || left < ELSEWHERE * self.run_time(req));
--- a/crates/heathspur/tests/path.rs
+++ b/crates/heathspur/tests/path.rs
@@ -261,3 +261,21 @@
     };
     assert_eq!(play(), play());
 }
+
+#[test]
+fn refusals_for_want_of_room_ask_to_stay_away_for_a_while() {
+    let mut b = Bench::new(settings());
+    fill(&mut b, 1, 4, 2);
+    b.arrive(request(9, 0), 9);
+    b.pass(ms(2500));
+    let asked =
+        |a: &Action| matches!(a, Action::Refuse { id: RequestId(9), stay_away: Some(s), .. } if s.0 > 0);
+    assert!(b.all.iter().any(asked));
+    let mut set = settings();
+    set.advice = None;
+    let mut b = Bench::new(set);
+    fill(&mut b, 1, 4, 2);
+    b.arrive(request(9, 0), 9);
+    b.pass(ms(2500));
+    assert!(b.all.iter().any(|a| matches!(a, Action::Refuse { id: RequestId(9), stay_away: None, .. })));
+}
