Cut the calls made at once by a factor when call times stretch

Cause: each server kept five calls in a database with room for little more than one each; it crowded, and calls took 20 times as long, so nearly all invoices failed.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -57,8 +57,9 @@
 const QUOTA_BURST: f64 = 2.0;
 /// Part of our part of a shared dependency that we use, in the mean.
 const PART_USED: f64 = 0.9;
-/// Call time over its quiet level past which fewer calls are made at once.
+/// Call time over its quiet level past which fewer calls are made at once, and by how much.
 const CALL_STRETCH: f64 = 2.0;
+const CALL_CUT: f64 = 0.7;
 /// Times that one call is made in all, and seconds before the first repeat (doubled for each).
 const CALL_TRIES: u32 = 4;
 const CALL_BACKOFF: f64 = 0.05;
@@ -572,7 +573,9 @@
             self.call_time.add(latency.secs(), FAST);
         }
         if outcome == Outcome::Ok {
-            self.call_quiet.add(latency.secs(), SLOW);
+            if self.call_cap < 2.0 || self.call_time.value <= CALL_STRETCH * self.call_quiet.value {
+                self.call_quiet.add(latency.secs(), SLOW);
+            }
             return self.resume(id);
         }
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
@@ -594,7 +597,7 @@
                 self.lingering.push_back(self.now + linger);
             }
             if self.call_time.value > CALL_STRETCH * self.call_quiet.value {
-                self.call_cap = (self.call_cap - 0.2).max(1.0);
+                self.call_cap = (self.call_cap * CALL_CUT).max(1.0);
             } else {
                 self.call_cap = (self.call_cap + 1.0 / self.call_cap).min(part.max(1.0));
             }
