Keep calls to a shared dependency few and short where they could be left out

Cause: at the onset of a slow database servers had five calls out each, needed or not, and skippable ones held places that invoices needed. Calls at once grow only while they bind; a skippable call gets four quiet call times.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -60,6 +60,8 @@
 /// Call time over its quiet level past which fewer calls are made at once, and by how much.
 const CALL_STRETCH: f64 = 2.0;
 const CALL_CUT: f64 = 0.7;
+/// Quiet call times that a call to a shared dependency gets where it could be left out.
+const CALL_PATIENCE: f64 = 4.0;
 /// Times that one call is made in all, and seconds before the first repeat (doubled for each).
 const CALL_TRIES: u32 = 4;
 const CALL_BACKOFF: f64 = 0.05;
@@ -208,8 +210,7 @@
 impl Server {
     /// A server that has just started, with nothing but its settings.
     pub fn new(set: Settings, seed: u64) -> Server {
-        let (n, cores) = (set.classes.len(), set.cores.max(1) as f64);
-        let servers = set.servers.max(1) as f64;
+        let (n, cores, servers) = (set.classes.len(), set.cores.max(1) as f64, set.servers.max(1) as f64);
         let share = |t: &Tenant| {
             let rate = t.quota_per_s / servers;
             TenantShare { tokens: rate * QUOTA_BURST, arrivals: 0.0, rate }
@@ -524,6 +525,10 @@
                 let mut limit = if can_skip { Span::from_secs(left.secs() * 0.5) } else { left };
                 if let Dependency::Shared { part, over, .. } = self.set.dependency {
                     limit = limit.min(Span::from_secs(over.secs() * part));
+                    if can_skip && self.call_quiet.count > 0.0 {
+                        // A place in the dependency is worth more to a call that must be made.
+                        limit = limit.min(Span::from_secs(CALL_PATIENCE * self.call_quiet.value));
+                    }
                 }
                 self.out.push(Action::Call { id, limit: limit.max(Span::from_secs(SWEEP)) });
                 self.calling += 1;
@@ -541,12 +546,11 @@
         };
         self.count_hands();
         let at_once = (PART_USED * part).floor().max(1.0);
-        let hands = self.hands() as f64;
-        hands < at_once.min(self.call_cap) && (part >= 1.0 || self.in_hands < PART_USED * part)
+        self.hands() < at_once.min(self.call_cap) && (part >= 1.0 || self.in_hands < PART_USED * part)
     }
 
-    fn hands(&self) -> usize {
-        self.calling + self.lingering.len()
+    fn hands(&self) -> f64 {
+        (self.calling + self.lingering.len()) as f64
     }
 
     fn count_hands(&mut self) {
@@ -554,7 +558,7 @@
             return;
         };
         let passed = (self.now - self.hands_at).secs() / over.secs().max(SWEEP);
-        self.in_hands += (self.hands() as f64 - self.in_hands) * (1.0 - (-passed).exp());
+        self.in_hands += (self.hands() - self.in_hands) * (1.0 - (-passed).exp());
         self.hands_at = self.now;
         while self.lingering.front().is_some_and(|&until| until <= self.now) {
             self.lingering.pop_front();
@@ -573,9 +577,7 @@
             self.call_time.add(latency.secs(), FAST);
         }
         if outcome == Outcome::Ok {
-            if self.call_cap < 2.0 || self.call_time.value <= CALL_STRETCH * self.call_quiet.value {
-                self.call_quiet.add(latency.secs(), SLOW);
-            }
+            self.call_quiet.add(latency.secs(), SLOW);
             return self.resume(id);
         }
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
@@ -598,7 +600,7 @@
             }
             if self.call_time.value > CALL_STRETCH * self.call_quiet.value {
                 self.call_cap = (self.call_cap * CALL_CUT).max(1.0);
-            } else {
+            } else if self.hands() + 2.0 > self.call_cap {
                 self.call_cap = (self.call_cap + 1.0 / self.call_cap).min(part.max(1.0));
             }
         }
@@ -798,10 +800,9 @@
             let good = !stalled && self.drain.is_none();
             self.out.push(Action::Health { good, stored: self.set.deep_checks || !good });
             let what = if stalled { "work has stalled" } else { "work moves again" };
-            self.out.push(Action::Log(format!(
-                "{what}: {} on the cores, none ended for {quiet:.1} s",
-                self.on_core
-            )));
+            let on_core = self.on_core;
+            let text = format!("{what}: {on_core} on the cores, none ended for {quiet:.1} s");
+            self.out.push(Action::Log(text));
         }
     }
 
@@ -813,14 +814,9 @@
             r.due = r.due.min(stop);
         }
         self.out.push(Action::Health { good: false, stored: true });
-        self.out.push(Action::Log(format!(
-            "leaving: {} requests to answer in {:.1} s",
-            self.reqs.len(),
-            left.secs()
-        )));
-        if self.set.free_value == FreeValue::Level {
-            self.say(1.0);
-        }
+        let (open, left) = (self.reqs.len(), left.secs());
+        self.out.push(Action::Log(format!("leaving: {open} requests to answer in {left:.1} s")));
+        self.signal();
     }
 
     // ---- Each period: budgets, cap, shares, signals ----
--- a/crates/heathspur/tests/guards.rs
+++ b/crates/heathspur/tests/guards.rs
@@ -274,3 +274,72 @@
     b.arrive(request(2, 0), 2);
     assert_eq!(b.running(), [2]);
 }
+
+/// A server at a shared dependency with room, taught a quiet call time of 100 ms.
+fn taught_calls() -> Bench {
+    let mut set = settings();
+    set.dependency = Dependency::Shared { part: 6.0, over: ms(5000), linger: ms(200) };
+    set.classes[0].skip_worth = 0.6;
+    set.memory_kb = 1e6;
+    let mut b = Bench::new(set);
+    for id in 1000..1100 {
+        b.arrive(request(id, 0), id);
+        b.needs_call(id);
+        b.pass(ms(100));
+        b.called(id, Outcome::Ok);
+        b.done(id, Outcome::Ok);
+    }
+    b
+}
+
+#[test]
+fn calls_at_once_do_not_grow_while_one_is_enough() {
+    let mut b = taught_calls();
+    for id in 1..=4 {
+        b.arrive(request(id, 1), id);
+    }
+    for id in 1..=4 {
+        b.needs_call(id);
+    }
+    assert!(b.in_state(State::Calling).len() <= 2, "{:?}", b.in_state(State::Calling));
+}
+
+#[test]
+fn calls_at_once_are_cut_when_call_times_stretch() {
+    let mut b = taught_calls();
+    let busy = |b: &mut Bench, from: u64, time: u64| {
+        for id in from..from + 4 {
+            b.arrive(request(id, 1), id);
+            b.needs_call(id);
+        }
+        let mut most = 0;
+        while let Some(&id) = b.in_state(State::Calling).first() {
+            most = most.max(b.in_state(State::Calling).len());
+            b.pass(ms(time));
+            if b.known.get(&RequestId(id)).is_some_and(|k| !k.answered && k.state == State::Calling) {
+                b.called(id, Outcome::Ok);
+            }
+            b.done(id, Outcome::Ok);
+        }
+        most
+    };
+    let mut grown = 0;
+    for round in 0..10 {
+        grown = busy(&mut b, 2000 + 10 * round, 30);
+    }
+    assert!(grown >= 3, "{grown}");
+    for round in 0..6 {
+        busy(&mut b, 3000 + 10 * round, 400);
+    }
+    assert_eq!(busy(&mut b, 4000, 400), 1);
+}
+
+#[test]
+fn a_skippable_call_at_a_shared_dependency_gets_a_few_quiet_call_times() {
+    let mut b = taught_calls();
+    b.arrive(request(1, 0), 1);
+    b.needs_call(1);
+    let limit = |a: &Action| if let Action::Call { limit, .. } = a { Some(*limit) } else { None };
+    let given = b.last.iter().find_map(limit).expect("a call");
+    assert!(given > ms(200) && given < ms(600), "{given:?}");
+}
