Give up calls that may be repeated after four usual call times

Cause: a lower-tier server that had died silently kept calls until the aim or the due time (7.1 s), and what waited there failed. A safe call is now given up after four usual call times and made again; a write's is not. Also covers hung or unreachable servers below; hurts where one class's calls take far longer than all calls in the mean.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -60,8 +60,9 @@
 /// Call time over its quiet level past which fewer calls are made at once, and by how much.
 const CALL_STRETCH: f64 = 2.0;
 const CALL_CUT: f64 = 0.7;
-/// Quiet call times that a call to a shared dependency gets where it could be left out.
-const CALL_PATIENCE: f64 = 4.0;
+/// Usual call times after which a call that may be repeated counts as lost: some servers below have gone.
+/// Hurts where one class's calls take far longer than all calls do in the mean.
+const CALL_HANG: f64 = 4.0;
 /// Times that one call is made in all, and seconds before the first repeat (doubled for each).
 const CALL_TRIES: u32 = 4;
 const CALL_BACKOFF: f64 = 0.05;
@@ -512,10 +513,9 @@
             let class = &self.set.classes[r.class];
             let useful = if class.late_worth > 0.0 { r.due } else { r.aim.min(r.due) };
             let left = (useful - self.margin()) - self.now;
-            let usual = self.call_time.or(0.0);
             let can_skip = class.skip_worth > 0.0;
             let waited = (self.now - reached).secs() > SKIP_WAIT * class.aim.secs();
-            let hopeless = (r.aim - self.now).secs() < usual;
+            let hopeless = (r.aim - self.now).secs() < self.call_time.value;
             if can_skip && (hopeless || r.tries >= 2 || (!room && waited)) {
                 self.out.push(Action::Skip(id));
                 self.resume(id);
@@ -523,12 +523,14 @@
                 self.give_up(id);
             } else if room {
                 let mut limit = if can_skip { Span::from_secs(left.secs() * 0.5) } else { left };
+                let mut usual = self.call_time;
                 if let Dependency::Shared { part, over, .. } = self.set.dependency {
                     limit = limit.min(Span::from_secs(over.secs() * part));
-                    if can_skip && self.call_quiet.count > 0.0 {
-                        // A place in the dependency is worth more to a call that must be made.
-                        limit = limit.min(Span::from_secs(CALL_PATIENCE * self.call_quiet.value));
-                    }
+                    // A place in the dependency is worth more to a call that must be made.
+                    usual = if can_skip { self.call_quiet } else { usual };
+                }
+                if class.effect == Effect::Safe {
+                    limit = limit.min(Span::from_secs(CALL_HANG * usual.or(left.secs())));
                 }
                 self.out.push(Action::Call { id, limit: limit.max(Span::from_secs(SWEEP)) });
                 self.calling += 1;
@@ -549,6 +551,7 @@
         self.hands() < at_once.min(self.call_cap) && (part >= 1.0 || self.in_hands < PART_USED * part)
     }
 
+    /// Calls of ours in the dependency's hands.
     fn hands(&self) -> f64 {
         (self.calling + self.lingering.len()) as f64
     }
@@ -708,20 +711,16 @@
     /// Takes a request off the books.
     fn remove(&mut self, id: RequestId) -> Option<Req> {
         let req = self.reqs.remove(&id)?;
-        match req.phase {
-            Phase::Held | Phase::Attached => self.memory -= req.kb,
-            Phase::Running => {
-                self.on_core -= 1;
-                self.controls[req.class].running -= 1;
-                self.memory -= req.kb * self.set.run_factor.max(1.0);
-            }
-            Phase::AtCall(_) | Phase::Calling => {
-                self.at_calls -= 1;
-                if req.phase == Phase::Calling {
-                    self.call_ended(Outcome::Cancelled);
-                }
-                self.memory -= req.kb * self.set.run_factor.max(1.0);
-            }
+        let held = matches!(req.phase, Phase::Held | Phase::Attached);
+        self.memory -= req.kb * if held { 1.0 } else { self.set.run_factor.max(1.0) };
+        if req.phase == Phase::Running {
+            self.on_core -= 1;
+            self.controls[req.class].running -= 1;
+        } else if !held {
+            self.at_calls -= 1;
+        }
+        if req.phase == Phase::Calling {
+            self.call_ended(Outcome::Cancelled);
         }
         Some(req)
     }
--- a/crates/heathspur/tests/guards.rs
+++ b/crates/heathspur/tests/guards.rs
@@ -343,3 +343,26 @@
     let given = b.last.iter().find_map(limit).expect("a call");
     assert!(given > ms(200) && given < ms(600), "{given:?}");
 }
+
+#[test]
+fn a_call_that_may_be_repeated_is_given_up_early_and_a_write_is_not() {
+    let mut b = Bench::new(settings());
+    for id in 1000..1040 {
+        b.arrive(request(id, 0), id);
+        b.needs_call(id);
+        b.pass(ms(50));
+        b.called(id, Outcome::Ok);
+        b.done(id, Outcome::Ok);
+    }
+    let limit = |a: &Action| if let Action::Call { limit, .. } = a { Some(*limit) } else { None };
+    b.arrive(request(1, 0), 1);
+    b.needs_call(1);
+    assert!(b.last.iter().find_map(limit).expect("a call") < ms(500));
+    b.arrive(request(2, 1), 2);
+    b.needs_call(2);
+    assert!(b.last.iter().find_map(limit).expect("a call") > ms(1500));
+    b.pass(ms(200));
+    b.called(1, Outcome::Timeout);
+    b.pass(ms(500));
+    assert_eq!(b.in_state(State::Calling), [1, 2], "not repeated");
+}
