--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -62,7 +62,7 @@
 const CALL_CUT: f64 = 0.7;
 /// Usual call times after which a call that may be repeated counts as lost: some servers below have gone.
 /// Hurts where one class's calls take far longer than all calls do in the mean.
-const CALL_HANG: f64 = 4.0;
+const CALL_HANG: f64 = 6.0;
 /// Times that one call is made in all, and seconds before the first repeat (doubled for each).
 const CALL_TRIES: u32 = 4;
 const CALL_BACKOFF: f64 = 0.05;
