--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -934,9 +934,8 @@
             FreeValue::Level => self.say(if leaving { 1.0 } else { self.level }),
             FreeValue::Weight => self.say(if leaving { 0.0 } else { 1.0 - self.level }),
             FreeValue::Credit if leaving => self.say(0.0),
-            FreeValue::Credit => {
-                self.say(2.0 * self.cap * (1.0 - self.level) / self.set.callers.max(1) as f64)
-            }
+            // For each caller as much as would fill us, since one may carry nearly all traffic.
+            FreeValue::Credit => self.say(2.0 * self.cap * (1.0 - self.level)),
         }
     }
 
