Pace calls to a shared dependency by call seconds and guard its window exactly

Cause: a server's part of the shared database is 0.41 calls at full size. It was kept in an exponential mean that starts at nothing, so each server had one call in hand for over two seconds before it bound, and 279 servers together pushed the database over at 4.5 s. Beyond the rule, one call at a time on each of 279 servers is twelve times what the database works on at once.

Change: ended calls of the last period and what calls in hand may still take (limit and linger) stay under nine tenths of our part in every window, from the first on. Calls in hand are paced to a mean that may be far below one; it starts at a third of our part, falls and grows by the old rule. Half of what the pace saves up is kept for calls that cannot be left out. It answers any cause of slow calls, since a slower call uses up more of the pace; it may hurt where the dependency has far more room than a third of our part and few calls wait.

Also taken out: reads of one key that share a run; none of the six deployments lets answers be shared, and no rule needs it.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -55,8 +55,13 @@
 const STALL_RUNS: f64 = 3.0;
 /// Seconds of its quota that a tenant may send at once.
 const QUOTA_BURST: f64 = 2.0;
-/// Part of our part of a shared dependency that we use, in the mean.
+/// Part of our part of a shared dependency that we use, in the mean; and from which calls in hand grow, and to
+/// which they are cut. The dependency slows down well before it falls, so the start is low.
 const PART_USED: f64 = 0.9;
+const PART_LEAST: f64 = 0.33;
+/// Seconds of paced calls that may come at once, and the part of them kept for calls that must be made.
+const PACE_BURST: f64 = 1.0;
+const PACE_KEPT: f64 = 0.5;
 /// Call time over its quiet level past which fewer calls are made at once, and by how much.
 const CALL_STRETCH: f64 = 2.0;
 const CALL_CUT: f64 = 0.7;
@@ -81,8 +86,8 @@
     Running,
     /// Stands at a call since then, not to be made before.
     AtCall(Time),
-    /// The call is out, as one of so many tries.
-    Calling,
+    /// The call is out since then, for so many seconds at the most.
+    Calling(Time, f64),
     /// Waits for the result of the request it repeats.
     Attached,
 }
@@ -194,10 +199,12 @@
     call_quiet: Mean,
     call_time: Mean,
     call_cap: f64,
-    /// Mean calls of ours in the shared dependency's hands, and when it was last brought forward.
-    in_hands: f64,
-    hands_at: Time,
-    lingering: VecDeque<Time>,
+    /// Call seconds of ours at a shared dependency: that pacing still grants, and when it was last brought
+    /// forward; that calls in hand may take; and that each ended call took, until it leaves the mean.
+    pace: f64,
+    paced_at: Time,
+    promised: f64,
+    spent: VecDeque<(Time, f64)>,
     progress: Time,
     stalled: bool,
     drain: Option<(Time, Time)>,
@@ -219,11 +226,13 @@
         Server {
             random: seed,
             holds: vec![VecDeque::new(); 2 * n],
-            order: (0..2 * n).collect(),
             controls: (0..n).map(|_| Control { budget: MIN_BUDGET, ..Control::default() }).collect(),
             tenants: set.tenants.iter().map(share).collect(),
             cap: cores,
-            call_cap: 1.0,
+            call_cap: match set.dependency {
+                Dependency::Shared { part, .. } => PART_LEAST * part,
+                _ => 1.0,
+            },
             set,
             ..Server::default()
         }
@@ -236,7 +245,7 @@
         let mut swept = false;
         if self.born.is_none() {
             self.born = Some(now);
-            (self.hands_at, self.progress, self.period_at) = (now, now, now);
+            (self.paced_at, self.progress, self.period_at) = (now, now, now);
             self.rank_lines();
             self.out.push(Action::Health { good: true, stored: self.set.deep_checks });
             swept = true;
@@ -321,16 +330,11 @@
         if effect == Effect::Keyed {
             admitted = self.link(r.id, &mut req, window);
         }
-        let prior = r.repeats.and_then(|p| self.reqs.get(&p)).is_some_and(|q| q.owed && q.ran);
-        let shares = prior && effect == Effect::Safe;
         self.reqs.insert(r.id, req);
-        if effect == Effect::Safe && self.set.fresh.0 > 0 && r.has_key && self.entry_fits() {
-            self.out.push(Action::Keep { id: r.id, ttl: self.set.fresh });
-        }
         let too_late = self.drain.is_some_and(|(since, _)| arrived > since + self.set.drain_grace);
         if self.now + self.margin() >= due || too_late || !admitted || self.stalled {
             self.give_up(r.id);
-        } else if shares || self.group_ran(r.id) {
+        } else if self.group_ran(r.id) {
             self.attach(r.id);
         } else {
             self.holds[line].push_back(r.id);
@@ -341,9 +345,7 @@
     /// Whether a request is within its tenant's local share. Further tries spend nothing: they take the
     /// standing that their tenant has now.
     fn within_share(&mut self, tenant: usize, retry: bool) -> bool {
-        let Some(t) = self.tenants.get_mut(tenant) else {
-            return true;
-        };
+        let Some(t) = self.tenants.get_mut(tenant) else { return true };
         let (within, spent) = (t.tokens >= 1.0, f64::from(u8::from(!retry)));
         t.arrivals += spent;
         t.tokens -= if within { spent } else { 0.0 };
@@ -508,12 +510,13 @@
         let mut waiting: Vec<_> = at_call.map(|(&id, r)| (place(r), r.reached, id)).collect();
         waiting.sort();
         for (_, reached, id) in waiting {
-            let room = self.may_call();
+            let can_skip = self.set.classes[self.reqs[&id].class].skip_worth > 0.0;
+            let most = self.call_room(can_skip);
+            let room = most > 0.0;
             let r = &self.reqs[&id];
             let class = &self.set.classes[r.class];
             let useful = if class.late_worth > 0.0 { r.due } else { r.aim.min(r.due) };
             let left = (useful - self.margin()) - self.now;
-            let can_skip = class.skip_worth > 0.0;
             let waited = (self.now - reached).secs() > SKIP_WAIT * class.aim.secs();
             let hopeless = (r.aim - self.now).secs() < self.call_time.value;
             if can_skip && (hopeless || r.tries >= 2 || (!room && waited)) {
@@ -524,58 +527,67 @@
             } else if room {
                 let mut limit = if can_skip { Span::from_secs(left.secs() * 0.5) } else { left };
                 let mut usual = self.call_time;
-                if let Dependency::Shared { part, over, .. } = self.set.dependency {
-                    limit = limit.min(Span::from_secs(over.secs() * part));
+                if self.shared().is_some() {
                     // A place in the dependency is worth more to a call that must be made.
                     usual = if can_skip { self.call_quiet } else { usual };
                 }
                 if class.effect == Effect::Safe {
                     limit = limit.min(Span::from_secs(CALL_HANG * usual.or(left.secs())));
                 }
-                self.out.push(Action::Call { id, limit: limit.max(Span::from_secs(SWEEP)) });
+                let limit = limit.min(Span::from_secs(most)).max(Span::from_secs(SWEEP));
+                self.out.push(Action::Call { id, limit });
                 self.calling += 1;
+                self.promised += limit.secs() + self.shared().map_or(0.0, |s| s.2);
                 if let Some(r) = self.reqs.get_mut(&id) {
-                    (r.phase, r.tries) = (Phase::Calling, r.tries + 1);
+                    (r.phase, r.tries) = (Phase::Calling(self.now, limit.secs()), r.tries + 1);
                 }
             }
         }
     }
 
-    /// Whether another call keeps our part of a shared dependency's load, in the mean and at once.
-    fn may_call(&mut self) -> bool {
-        let Dependency::Shared { part, .. } = self.set.dependency else {
-            return true;
-        };
+    /// Seconds that another call may take within our part of a shared dependency's load; 0 for none.
+    ///
+    /// The guard: what all calls took that ended within the period of the mean, and what those in hand may
+    /// take yet, stay under our part of it, so no servers together can push the dependency over. The pace: calls
+    /// in hand come to `call_cap` in the mean, which may be far less than one.
+    fn call_room(&mut self, can_skip: bool) -> f64 {
+        let Some((part, over, linger)) = self.shared() else { return f64::MAX };
         self.count_hands();
-        let at_once = (PART_USED * part).floor().max(1.0);
-        self.hands() < at_once.min(self.call_cap) && (part >= 1.0 || self.in_hands < PART_USED * part)
+        let usual = CALL_HANG * self.call_time.or(linger);
+        let whole = PART_USED * part * over - linger;
+        let left = whole - self.promised - self.spent.iter().map(|s| s.1).sum::<f64>();
+        let kept = if can_skip { PACE_KEPT } else { 0.0 };
+        let paced = self.call_cap >= 1.0 || self.pace >= kept * PACE_BURST * self.call_cap;
+        let at_once = (self.calling as f64) < self.call_cap.max(1.0).floor();
+        left * f64::from(u8::from(paced && at_once && left >= usual.min(0.5 * whole)))
     }
 
-    /// Calls of ours in the dependency's hands.
-    fn hands(&self) -> f64 {
-        (self.calling + self.lingering.len()) as f64
+    /// Our part of a shared dependency, the seconds of its mean, and how long an abandoned call stays there. The
+    /// mean is longer than told where the part is so small that it would never hold one usual call.
+    fn shared(&self) -> Option<(f64, f64, f64)> {
+        let Dependency::Shared { part, over, linger } = self.set.dependency else { return None };
+        let (part, linger) = (part.max(1e-6), linger.secs());
+        let one = 2.0 * (linger + self.call_time.or(linger));
+        Some((part, over.secs().max(one / (PART_USED * part)), linger))
     }
 
+    /// Brings what calls in hand and ended calls take up to now.
     fn count_hands(&mut self) {
-        let Dependency::Shared { over, .. } = self.set.dependency else {
-            return;
-        };
-        let passed = (self.now - self.hands_at).secs() / over.secs().max(SWEEP);
-        self.in_hands += (self.hands() - self.in_hands) * (1.0 - (-passed).exp());
-        self.hands_at = self.now;
-        while self.lingering.front().is_some_and(|&until| until <= self.now) {
-            self.lingering.pop_front();
+        let (passed, over) = ((self.now - self.paced_at).secs(), self.shared().map_or(0.0, |s| s.1));
+        self.paced_at = self.now;
+        let (most, least) = (PACE_BURST * self.call_cap, -over * self.call_cap);
+        self.pace = (self.pace + (self.call_cap - self.calling as f64) * passed).clamp(least, most);
+        while self.spent.front().is_some_and(|s| s.0 <= self.now) {
+            self.spent.pop_front();
         }
     }
 
     fn called(&mut self, id: RequestId, outcome: Outcome, latency: Span) {
         let Some(req) = self.reqs.get(&id) else { return };
-        if req.phase != Phase::Calling {
-            return;
-        }
+        let Phase::Calling(since, limit) = req.phase else { return };
         let effect = self.set.classes[req.class].effect;
         let (owed, tries) = (req.owed, req.tries);
-        self.call_ended(outcome);
+        self.call_ended(outcome, since, limit);
         if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
             self.call_time.add(latency.secs(), FAST);
         }
@@ -594,18 +606,22 @@
     }
 
     /// Books the end of a call; one that was abandoned stays in the dependency's hands for a while.
-    fn call_ended(&mut self, outcome: Outcome) {
+    fn call_ended(&mut self, outcome: Outcome, since: Time, limit: f64) {
         self.count_hands();
         self.calling -= 1;
-        if let Dependency::Shared { part, linger, .. } = self.set.dependency {
-            if matches!(outcome, Outcome::Timeout | Outcome::Cancelled) {
-                self.lingering.push_back(self.now + linger);
-            }
-            if self.call_time.value > CALL_STRETCH * self.call_quiet.value {
-                self.call_cap = (self.call_cap * CALL_CUT).max(1.0);
-            } else if self.hands() + 2.0 > self.call_cap {
-                self.call_cap = (self.call_cap + 1.0 / self.call_cap).min(part.max(1.0));
-            }
+        let Some((part, over, linger)) = self.shared() else { return };
+        self.promised -= limit + linger;
+        let lingers = if matches!(outcome, Outcome::Timeout | Outcome::Cancelled) { linger } else { 0.0 };
+        let until = self.now + Span::from_secs(lingers + over);
+        self.spent.push_back((until, (self.now - since).secs() + lingers));
+        self.pace -= lingers;
+        // Growth of a part of a call is for calls held back.
+        let (step, binds) =
+            ((PART_LEAST * part).min(1.0), self.call_cap >= 1.0 || 1 + self.calling < self.at_calls);
+        if self.call_time.value > CALL_STRETCH * self.call_quiet.value {
+            self.call_cap = (self.call_cap * CALL_CUT).max(step);
+        } else if binds && self.calling as f64 + 2.0 > self.call_cap {
+            self.call_cap = (self.call_cap + step * step / self.call_cap).min(PART_USED * part);
         }
     }
 
@@ -675,7 +691,7 @@
         let group_ran = self.group_ran(id);
         let Some(req) = self.reqs.get(&id).filter(|r| r.owed) else { return };
         let safe = self.set.classes[req.class].effect == Effect::Safe;
-        let waits_below = matches!(req.phase, Phase::AtCall(_) | Phase::Calling);
+        let waits_below = matches!(req.phase, Phase::AtCall(_) | Phase::Calling(..));
         if safe && !waits_below || !req.ran && !group_ran && req.phase != Phase::Attached {
             let away = self.stalled || self.drain.is_some();
             // Refusals answer fast, so a caller that picks the fastest would send more. Hurts where all
@@ -695,9 +711,7 @@
     /// A try of a keyed request that never ran has ended: with the last such try goes the entry.
     fn leave_group(&mut self, id: RequestId) {
         let Some(root) = self.links.get(&id) else { return };
-        let Some(group) = self.groups.get_mut(root) else {
-            return;
-        };
+        let Some(group) = self.groups.get_mut(root) else { return };
         group.held.retain(|&other| other != id);
         if !group.ran && group.held.is_empty() {
             if let Some((entry, _)) = group.entry.take() {
@@ -719,8 +733,8 @@
         } else if !held {
             self.at_calls -= 1;
         }
-        if req.phase == Phase::Calling {
-            self.call_ended(Outcome::Cancelled);
+        if let Phase::Calling(since, limit) = req.phase {
+            self.call_ended(Outcome::Cancelled, since, limit);
         }
         Some(req)
     }
@@ -752,7 +766,7 @@
                     let safe = class.effect == Effect::Safe;
                     due || safe && (self.stalled || class.late_worth == 0.0 && self.now > r.aim)
                 }
-                Phase::AtCall(_) | Phase::Calling | Phase::Attached => due,
+                Phase::AtCall(_) | Phase::Calling(..) | Phase::Attached => due,
             };
             if ends {
                 ended.push(id);
@@ -799,8 +813,7 @@
             let good = !stalled && self.drain.is_none();
             self.out.push(Action::Health { good, stored: self.set.deep_checks || !good });
             let what = if stalled { "work has stalled" } else { "work moves again" };
-            let on_core = self.on_core;
-            let text = format!("{what}: {on_core} on the cores, none ended for {quiet:.1} s");
+            let text = format!("{what}: {} on the cores, none ended for {quiet:.1} s", self.on_core);
             self.out.push(Action::Log(text));
         }
     }
@@ -813,8 +826,8 @@
             r.due = r.due.min(stop);
         }
         self.out.push(Action::Health { good: false, stored: true });
-        let (open, left) = (self.reqs.len(), left.secs());
-        self.out.push(Action::Log(format!("leaving: {open} requests to answer in {left:.1} s")));
+        let text = format!("leaving: {} requests to answer in {:.1} s", self.reqs.len(), left.secs());
+        self.out.push(Action::Log(text));
         self.signal();
     }
 
@@ -844,15 +857,6 @@
         self.shares(passed);
         self.rank_lines();
         self.signal();
-        let unwanted: Vec<RequestId> = self
-            .reqs
-            .iter()
-            .filter(|(_, r)| !r.owed && r.phase == Phase::Running)
-            .map(|(&id, _)| id)
-            .collect();
-        for id in unwanted {
-            self.gone(id);
-        }
     }
 
     /// PI control of each class's slots on its wait. After saturation, when budgets came to more than the
@@ -908,13 +912,10 @@
                 WorthBy::Request => c.quiet.value,
                 WorthBy::Work => class.aim.secs(),
             };
-            (worth, tie)
+            (-worth, tie, line)
         };
-        let mut order = std::mem::take(&mut self.order);
-        order.sort_by(|&a, &b| {
-            let ((wa, ta), (wb, tb)) = (key(a), key(b));
-            wb.total_cmp(&wa).then(ta.total_cmp(&tb)).then(a.cmp(&b))
-        });
+        let mut order: Vec<usize> = (0..self.holds.len()).collect();
+        order.sort_by(|&a, &b| key(a).partial_cmp(&key(b)).unwrap_or(a.cmp(&b)));
         self.order = order;
     }
 
