Let runs that wait for a disk leave their slot to others

All of them together stay under the bound of the crowd that is survived, since they come back. Reading and handshakes want a core too, so the count errs low. It may hurt where many come back from the disk at once.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -183,9 +183,10 @@
     links: BTreeMap<RequestId, RequestId>,
     entries: usize,
     memory: f64,
-    /// Memory of a held request.
     kb: Mean,
     on_core: usize,
+    /// Of these, those that wanted no core at the last sweep, but waited for a disk.
+    on_disk: usize,
     at_calls: usize,
     calling: usize,
     cap: f64,
@@ -265,7 +266,11 @@
                 Event::Called { id, outcome, latency } => self.called(*id, *outcome, *latency),
                 Event::Gone(id) => self.gone(*id),
                 Event::Drain(left) => self.leave(*left),
-                Event::Timer { gauges, .. } => (self.open, swept) = (gauges.connections.unwrap_or(0.0), true),
+                Event::Timer { gauges, .. } => {
+                    (self.open, swept) = (gauges.connections.unwrap_or(0.0), true);
+                    self.on_disk =
+                        self.on_core - gauges.runnable.map_or(self.on_core, |r| self.on_core.min(r as usize));
+                }
             }
         }
         if swept {
@@ -416,7 +421,7 @@
         loop {
             let ceiling = self.crowd() * CROWD_PART;
             let cap = self.cap.min(ceiling).max(1.0).floor() as usize;
-            if self.on_core >= cap || (self.on_core + self.at_calls) as f64 >= ceiling {
+            if self.on_core >= cap + self.on_disk || (self.on_core + self.at_calls) as f64 >= ceiling {
                 return;
             }
             let calls_full = (self.at_calls + cap) as f64 >= ceiling;
@@ -755,16 +760,11 @@
         for (&id, r) in self.reqs.iter().filter(|(_, r)| r.owed) {
             let class = &self.set.classes[r.class];
             let due = self.now + margin >= r.due;
-            let ends = match r.phase {
-                Phase::Held => due || self.stalled,
-                // Late work that earns nothing makes room; writes are seen through while somebody waits.
-                Phase::Running => {
-                    let safe = class.effect == Effect::Safe;
-                    due || safe && (self.stalled || class.late_worth == 0.0 && self.now > r.aim)
-                }
-                Phase::AtCall(_) | Phase::Calling(..) | Phase::Attached => due,
-            };
-            if ends {
+            let (held, runs) = (r.phase == Phase::Held, r.phase == Phase::Running);
+            let safe = runs && class.effect == Effect::Safe;
+            // Late work that earns nothing makes room; writes are seen through while somebody waits.
+            let late = safe && class.late_worth == 0.0 && self.now > r.aim;
+            if due || late || self.stalled && (held || safe) {
                 ended.push(id);
             }
         }
--- a/crates/heathspur/tests/path.rs
+++ b/crates/heathspur/tests/path.rs
@@ -279,3 +279,21 @@
     b.pass(ms(2500));
     assert!(b.all.iter().any(|a| matches!(a, Action::Refuse { id: RequestId(9), stay_away: None, .. })));
 }
+
+#[test]
+fn runs_that_wait_for_a_disk_leave_their_slots_to_others() {
+    let mut b = Bench::new(settings());
+    for id in 1..=8 {
+        b.arrive(request(id, 2), id);
+    }
+    assert_eq!(b.running().len(), 4);
+    // Three of the four want no core.
+    b.gauges.runnable = Some(1.0);
+    b.pass(ms(20));
+    assert_eq!(b.running().len(), 7);
+    // More at a core than runs, since requests are read too: nothing is lent.
+    b.gauges.runnable = Some(9.0);
+    b.pass(ms(20));
+    b.done(1, Outcome::Ok);
+    assert_eq!(b.running().len(), 6);
+}
