Put no aim later than an aim after the arrival, whatever patience is told

Change: the aim is never later than one aim after the arrival here; a told patience may only show that the first try is older. It also covers calls from the tier above that give more time than this tier's aim. It could hurt where a later tier's aim is shorter than its callers need.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -311,14 +311,11 @@
         let size = (cost / self.controls[k].cost.value).clamp(1.0 / SIZE_MOST, SIZE_MOST);
         let run = self.controls[k].run.or(RUN_GUESS * class.aim.secs());
         let aim_span = Span::from_secs(class.aim.secs() + class.aim_stretch * run * size).min(class.give_up);
-        // A caller that tells its patience tells the age of the first try too; one that waits less than
-        // is left after the aim is a call from the tier above, whose limit is its aim.
+        // A told patience tells the age of the first try only where more of it is left than an answer may be
+        // late: a try may be given up long before the client is. No first try is younger than this one.
         let late_span = Span(class.give_up.0 - aim_span.0);
-        let aim = match r.patience {
-            Some(left) if left > late_span => due - late_span,
-            Some(_) => due,
-            None => arrived + aim_span,
-        };
+        let aged = r.patience.filter(|&left| left > late_span);
+        let aim = (arrived + aim_span).min(aged.map_or(due, |_| due - late_span));
         let beyond = r.tenant.is_some_and(|t| !self.within_share(t.0, r.retry));
         // Where a caller tells no patience, a marked retry mostly comes after its aim has passed elsewhere.
         let over = beyond || r.retry && r.patience.is_none();
--- a/crates/heathspur/tests/path.rs
+++ b/crates/heathspur/tests/path.rs
@@ -297,3 +297,17 @@
     b.done(1, Outcome::Ok);
     assert_eq!(b.running().len(), 6);
 }
+
+#[test]
+fn a_patience_longer_than_the_aim_does_not_move_the_aim() {
+    let mut b = Bench::new(settings());
+    for id in 1..=4 {
+        b.arrive(request(id, 2), id);
+    }
+    // Its caller gives this try up after 3.5 s of 6, and wants an answer within 2.
+    let mut r = request(9, 0);
+    r.patience = Some(ms(3500));
+    b.arrive(r, 9);
+    b.pass(ms(1950));
+    assert_eq!(b.refused(), [9]);
+}
