Allow each tenant a few requests of chance beside its local share

Changes: the bucket holds two seconds of the share and four requests more; work ahead may have a request turned away after a tenth of its aim in place of a fifth, since a refusal that must come helps its caller more while it is early. It may let a flood of four requests a tenant through on each server.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -36,7 +36,7 @@
 const RUN_GUESS: f64 = 0.15;
 const RUN_MOST: f64 = 0.5;
 /// Part of its aim that a request queues before the work ahead of it may have it turned away.
-const QUEUE_PART: f64 = 0.2;
+const QUEUE_PART: f64 = 0.1;
 /// Part of the longest advice to stay away that a refusal for want of room carries.
 const ADVICE_PART: f64 = 0.5;
 /// Run times that must be left for a try elsewhere to be of use.
@@ -46,8 +46,9 @@
 /// Seconds without any progress, and the same in run times, after which work counts as stalled.
 const STALL: f64 = 1.0;
 const STALL_RUNS: f64 = 3.0;
-/// Seconds of its quota that a tenant may send at once.
+/// Seconds of its quota that a tenant may send at once, and requests that chance may add to them.
 const QUOTA_BURST: f64 = 2.0;
+const QUOTA_CHANCE: f64 = 4.0;
 /// Parts of our part of a shared dependency: that we use at most, and from which calls in hand grow.
 const PART_USED: f64 = 0.9;
 const PART_LEAST: f64 = 0.33;
@@ -228,7 +229,7 @@
         order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
         let share = |t: &Tenant| {
             let rate = t.quota_per_s / servers;
-            TenantShare { tokens: rate * QUOTA_BURST, arrivals: 0.0, rate }
+            TenantShare { tokens: rate * QUOTA_BURST + QUOTA_CHANCE, arrivals: 0.0, rate }
         };
         Server {
             random: seed,
@@ -888,7 +889,7 @@
         let part = parts[(parts.len() - 1) / 2].max(1.0 / self.set.servers.max(1) as f64);
         for (t, quota) in self.tenants.iter_mut().zip(&self.set.tenants) {
             let rate = quota.quota_per_s * part;
-            t.tokens = (t.tokens + rate * passed).min((rate * QUOTA_BURST).max(1.0));
+            t.tokens = (t.tokens + rate * passed).min(rate * QUOTA_BURST + QUOTA_CHANCE);
         }
     }
 
