--- a/crates/heathspur/tests/path.rs
+++ b/crates/heathspur/tests/path.rs
@@ -202,10 +202,10 @@
     set.over_share_worth = 0.05;
     let mut b = Bench::new(set);
     fill(&mut b, 1, 4, 2);
-    b.arrive(Request { tenant: Some(TenantId(1)), ..request(50, 0) }, 50);
     for id in 60..63 {
-        b.arrive(Request { tenant: Some(TenantId(0)), ..request(id, 1) }, id);
+        b.arrive(Request { tenant: Some(TenantId(0)), ..request(id, 0) }, id);
     }
+    b.arrive(Request { tenant: Some(TenantId(1)), ..request(50, 0) }, 50);
     for id in 1..=4 {
         b.done(id, Outcome::Ok);
     }
