--- a/crates/heathspur/tests/path.rs
+++ b/crates/heathspur/tests/path.rs
@@ -198,7 +198,7 @@
 fn a_few_requests_at_once_are_no_flood_where_a_share_is_a_part_of_one_a_second() {
     let mut set = settings();
     set.servers = 100;
-    set.tenants = vec![Tenant { quota_per_s: 20.0 }, Tenant { quota_per_s: 20.0 }];
+    set.tenants = vec![Tenant { quota_per_s: 20.0 }, Tenant { quota_per_s: 2000.0 }];
     set.over_share_worth = 0.05;
     let mut b = Bench::new(set);
     fill(&mut b, 1, 4, 2);
