Raise the advice to stay away to the part that is turned away

Half of the longest advice, or the part of the last few requests that were turned away where that is more.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -694,7 +694,7 @@
         if safe && !waits_below || !req.ran && !group_ran && req.phase != Phase::Attached {
             let away = self.stalled || self.drain.is_some();
             // A refusal is fast: callers that pick the fastest would send more. Hurts where all are full.
-            let part = if away { 1.0 } else { ADVICE_PART };
+            let part = if away { 1.0 } else { ADVICE_PART.max(self.turned.value) };
             let stay_away = self.set.advice.map(|most| Span::from_secs(most.secs() * part));
             // Elsewhere is worth a try with enough time left, which is certain only where patience is told.
             let left = (req.aim - self.now).secs();
