Fail repeats that wait for a result where memory is short

One that comes while memory is over its bound for held work is now answered with an error at once; its first try goes on. It guards against any pile of repeats; it could hurt where callers repeat large writes while memory is short.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -398,11 +398,12 @@
         root.and_then(|root| self.groups.get(&root)).is_some_and(|g| g.ran)
     }
 
-    /// Answers a repeat with the result of the try that runs or ran.
+    /// Answers a repeat with the result of the try that runs or ran; fails it where memory is short, since one
+    /// that waits for a result can no longer be shed.
     fn attach(&mut self, id: RequestId) {
         let Some(req) = self.reqs.get_mut(&id) else { return };
         req.phase = Phase::Attached;
-        if req.repeats.is_some() {
+        if req.repeats.is_some() && self.memory <= HOLD_MEMORY * self.set.memory_kb {
             self.out.push(Action::Reuse(id));
         } else {
             self.give_up(id);
--- a/crates/heathspur/tests/guards.rs
+++ b/crates/heathspur/tests/guards.rs
@@ -475,3 +475,18 @@
     let given = idle_times(&mut b, 100, |_| 60.0, false);
     assert!(given.windows(2).all(|w| w[0] < w[1]) && given.len() > 1, "{given:?}");
 }
+
+#[test]
+fn repeats_that_wait_for_a_result_do_not_fill_the_memory() {
+    let mut set = settings();
+    (set.cores, set.memory_kb) = (1, 1200.0);
+    let mut b = Bench::new(set);
+    b.arrive(Request { held_kb: 50.0, ..request(1, 1) }, 7);
+    assert_eq!(b.running(), [1]);
+    // The driver fails when memory is passed.
+    for id in 2..30 {
+        b.arrive(Request { held_kb: 50.0, ..request(id, 1) }, 7);
+    }
+    assert!(!b.in_state(State::Attached).is_empty());
+    assert!(b.answers[&RequestId(29)] == 1 && b.refused().is_empty());
+}
--- a/crates/heathspur/tests/rules.rs
+++ b/crates/heathspur/tests/rules.rs
@@ -49,6 +49,7 @@
         Just(Dependency::Tier),
         Just(Dependency::Shared { part: 2.4, over: ms(5000), linger: ms(200) }),
         Just(Dependency::Shared { part: 0.6, over: ms(5000), linger: ms(200) }),
+        Just(Dependency::Shared { part: 0.01, over: ms(5000), linger: ms(200) }),
     ];
     let say = prop_oneof![
         Just(FreeValue::None),
@@ -57,9 +58,15 @@
         Just(FreeValue::Weight)
     ];
     let memory = prop_oneof![Just(900.0), Just(5000.0)];
-    (halt, below, say, memory, any::<bool>(), any::<bool>()).prop_map(
-        |(halt, below, say, memory, cold, skip)| {
+    // One core among hundreds of servers, with a tenth of a request a second for each tenant; or none of it.
+    let size = prop_oneof![Just((4, 4, 2, 0)), Just((1, 300, 1000, 30_000)), Just((2, 0, 0, 30_000))];
+    (halt, below, say, memory, any::<bool>(), any::<bool>(), size).prop_map(
+        |(halt, below, say, memory, cold, skip, (cores, servers, callers, idle))| {
             let mut set = settings();
+            (set.cores, set.servers, set.callers, set.idle) = (cores, servers, callers, ms(idle));
+            if servers > 4 {
+                set.tenants = vec![Tenant { quota_per_s: 30.0 }, Tenant { quota_per_s: 0.0 }];
+            }
             (set.halt, set.dependency, set.free_value, set.memory_kb) = (halt, below, say, memory);
             set.cold = cold;
             set.classes[0].skip_worth = if skip { 0.6 } else { 0.0 };
@@ -84,6 +91,7 @@
                     patience: patience.map(ms),
                     retry,
                     held_kb: kb as f64,
+                    tenant: Some(TenantId((identity % 3) as usize)),
                     ..request(next, class)
                 };
                 b.arrive(r, identity);
