--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -398,8 +398,8 @@
         root.and_then(|root| self.groups.get(&root)).is_some_and(|g| g.ran)
     }
 
-    /// Answers a repeat with the result of the try that runs or ran; fails it where memory is short, since one
-    /// that waits for a result can no longer be shed.
+    /// Answers a repeat with the result of the try that runs or ran; fails it where memory is short, since
+    /// one that waits for a result can no longer be shed.
     fn attach(&mut self, id: RequestId) {
         let Some(req) = self.reqs.get_mut(&id) else { return };
         req.phase = Phase::Attached;
@@ -697,7 +697,7 @@
             // A refusal is fast: callers that pick the fastest would send more. Hurts where all are full.
             let part = if away { 1.0 } else { ADVICE_PART.max(self.turned.value) };
             let stay_away = self.set.advice.map(|most| Span::from_secs(most.secs() * part));
-            // Elsewhere is worth a try with enough time left, which is certain only where patience is told.
+            // Elsewhere is worth a try with enough time left, certain only where patience is told.
             let left = (req.aim - self.now).secs();
             let last = !away && (!req.told || left < ELSEWHERE * self.run_time(req));
             self.turned.add(1.0, FAST);
