--- a/crates/heathspur-drill/src/lib.rs
+++ b/crates/heathspur-drill/src/lib.rs
@@ -7,10 +7,11 @@
 pub mod wire;
 
 use heathspur::{Action, Event, RequestId, Server, Span, Time, Token};
+use heathspur_settings::Names;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io::{self, BufRead, Write};
-use wire::{In, Names, Out};
+use wire::{In, Out};
 
 /// Why the adapter stopped.
 #[derive(Debug)]
@@ -91,7 +92,7 @@
                 now = None;
             }
             (In::Enlist(start), Some(_)) => {
-                let (settings, names) = wire::settings(start.facts);
+                let (settings, names) = heathspur_settings::read(start.facts);
                 let server = Server::new(settings, start.init_seed);
                 let fresh = Instance { server, names, events: Vec::new(), touched: true };
                 instances.insert(start.server_id, fresh);
--- /dev/null
+++ b/crates/heathspurd/src/admit.rs
@@ -0,0 +1,45 @@
+//! Stage two: a request that was read becomes one that the module knows, linked to what it repeats.
+
+use crate::clock;
+use crate::inbox::{Answer, Arrival};
+use crate::keys::Key;
+use crate::owner::Owner;
+use heathspur::{Event, Request};
+
+impl Owner {
+    pub(crate) fn admit(&mut self, arrival: Arrival) {
+        if arrival.reply.is_closed() {
+            // Its caller went before it was looked at.
+            return;
+        }
+        if self.table.named(&arrival.txn).is_some() {
+            let _ = arrival.reply.try_send(Answer::Conflict);
+            return;
+        }
+        let linked = !arrival.row || self.settings.fresh.0 > 0;
+        let key = arrival.key.as_ref().filter(|_| linked).map(|bytes| Key::new(arrival.class, bytes));
+        let repeats = match key.as_ref().map(|key| self.keys.link(key, arrival.id, arrival.ingress)) {
+            None => None,
+            Some(Ok(repeats)) => repeats,
+            Some(Err(full)) => {
+                // A repeat could not be told any more, so it must not run here.
+                log!("a request was turned away: {full}");
+                let _ = arrival.reply.try_send(Answer::Refused { stay_away: None, last: false });
+                return;
+            }
+        };
+        self.events.push(Event::Request(Request {
+            id: arrival.id,
+            class: arrival.class,
+            tenant: arrival.tenant,
+            has_key: arrival.row,
+            patience: None,
+            cost: None,
+            held_kb: arrival.held_kb,
+            retry: arrival.retry,
+            waited: clock::since(arrival.ingress, clock::unix()),
+            repeats,
+        }));
+        self.table.insert(arrival, key);
+    }
+}
--- /dev/null
+++ b/crates/heathspurd/src/inbox.rs
@@ -0,0 +1,116 @@
+//! What reaches the owner, and what all connections share with it.
+
+use crate::interpreter;
+use crate::store;
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use heathspur::{ClassId, RequestId, Span, TenantId};
+use heathspur_settings::Names;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// The name of a try on the wire: 16 hexadecimal digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Txn([u8; 16]);
+
+impl Txn {
+    pub fn read(text: &[u8]) -> Option<Txn> {
+        let digits: [u8; 16] = text.try_into().ok()?;
+        digits.iter().all(u8::is_ascii_hexdigit).then_some(Txn(digits))
+    }
+
+    pub fn as_str(&self) -> &str {
+        std::str::from_utf8(&self.0).unwrap_or("")
+    }
+}
+
+/// A request as it was read from a connection.
+#[derive(Debug)]
+pub(crate) struct Arrival {
+    pub id: RequestId,
+    pub txn: Txn,
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    /// Unix microseconds at which it came to the machine.
+    pub ingress: u64,
+    /// What tells its repeats: the idempotency key, or what a read is about.
+    pub key: Option<Bytes>,
+    pub row: bool,
+    pub retry: bool,
+    pub held_kb: f64,
+    pub body: Bytes,
+    /// The way back to its connection; closed once the caller is gone.
+    pub reply: Sender<Answer>,
+}
+
+/// The final answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Answer {
+    /// The result of a run.
+    Served(Bytes),
+    /// This try never ran.
+    Refused { stay_away: Option<Span>, last: bool },
+    /// The run failed.
+    Failed,
+    /// It was given up.
+    GivenUp,
+    /// A request of that name is open already.
+    Conflict,
+}
+
+/// What happened beside requests that were read.
+#[derive(Debug)]
+pub(crate) enum News {
+    /// The caller of a request is gone.
+    Gone(RequestId),
+    /// A connection has closed.
+    Closed,
+    Interpreter(interpreter::News),
+    Store(store::News),
+    /// The notice to drain.
+    Drain,
+}
+
+/// What connections see of the owner, and give it.
+pub(crate) struct Front {
+    pub requests: Sender<Arrival>,
+    pub news: Sender<News>,
+    pub names: Names,
+    /// Per class: whether its requests carry an idempotency key, and whether reads have a subject.
+    pub keyed: Vec<bool>,
+    pub next_id: Cell<u64>,
+    /// What health checks are told.
+    pub good: Cell<bool>,
+    /// Idle connections are closed after this.
+    pub idle: Cell<Span>,
+    /// Every answer is the last on its connection.
+    pub leaving: Cell<bool>,
+    /// Closed, never sent on, once no new request is taken: idle connections close.
+    pub shutting: Receiver<()>,
+    /// Connections open now.
+    pub open: Cell<usize>,
+    /// Connections open at most.
+    pub most_open: usize,
+}
+
+/// One connection's place under the bound; given back when it is dropped.
+pub(crate) struct Place(Rc<Front>);
+
+impl Place {
+    pub fn take(front: &Rc<Front>) -> Option<Place> {
+        (front.open.get() < front.most_open).then(|| {
+            front.open.set(front.open.get() + 1);
+            Place(front.clone())
+        })
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        if self.0.shutting.is_closed() {
+            // The owner may be waiting for the last one; when its queue is full it looks again anyway.
+            let _ = self.0.news.try_send(News::Closed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/heathspurd/src/keys.rs
@@ -0,0 +1,276 @@
+//! What tells a repeat: the tries of each keyed request, and of reads of one thing, with kept results.
+//!
+//! An entry stands while a try of it is in the request table, and once kept until its time is over. Its
+//! result goes with it.
+
+use bytes::Bytes;
+use heathspur::{ClassId, RequestId, Span};
+use std::collections::{BTreeMap, HashMap};
+
+/// What a request shares with its repeats.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Key {
+    pub class: ClassIndex,
+    pub bytes: Box<[u8]>,
+}
+
+type ClassIndex = usize;
+
+impl Key {
+    pub fn new(class: ClassId, bytes: &[u8]) -> Key {
+        Key { class: class.0, bytes: bytes.into() }
+    }
+}
+
+/// The run of one of the tries.
+#[derive(Debug)]
+enum Run {
+    /// None of them ran.
+    None,
+    Going(RequestId),
+    /// Ended, with the result where there is one.
+    Ended(RequestId, Option<Bytes>),
+}
+
+#[derive(Debug)]
+struct Entry {
+    /// The tries in the request table.
+    live: Vec<RequestId>,
+    /// Of these, those that wait for the result.
+    waiting: Vec<RequestId>,
+    /// The try that holds the entry.
+    holder: RequestId,
+    /// Unix microseconds until which it is kept.
+    until: u64,
+    run: Run,
+}
+
+/// What a repeat that wants another try's result gets.
+#[derive(Debug, PartialEq)]
+pub(crate) enum Attached {
+    /// The result will come, or its failure.
+    Waits,
+    /// Here it is.
+    Result(Bytes),
+    /// There is none.
+    Failed,
+}
+
+/// A try can't be entered: the table is full.
+#[derive(Debug, PartialEq)]
+pub(crate) struct Full;
+
+impl std::fmt::Display for Full {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the table of keys is full")
+    }
+}
+
+/// The table. Bounded in entries and in bytes of results.
+#[derive(Debug)]
+pub(crate) struct Keys {
+    entries: HashMap<Key, Entry>,
+    /// Whose entries are kept.
+    holders: BTreeMap<RequestId, Key>,
+    most_entries: usize,
+    bytes: usize,
+    most_bytes: usize,
+    /// How long after its end an entry may still be asked for by what was read late.
+    late: Span,
+}
+
+impl Keys {
+    pub fn new(most_entries: usize, most_bytes: usize, late: Span) -> Keys {
+        Keys { entries: HashMap::new(), holders: BTreeMap::new(), most_entries, bytes: 0, most_bytes, late }
+    }
+
+    /// Enters a try that reached the machine at `ingress`; the answer is the try that it repeats.
+    pub fn link(&mut self, key: &Key, id: RequestId, ingress: u64) -> Result<Option<RequestId>, Full> {
+        if let Some(entry) = self.entries.get_mut(key) {
+            if !entry.live.is_empty() || ingress < entry.until {
+                entry.live.push(id);
+                return Ok(Some(match entry.run {
+                    Run::None => entry.holder,
+                    Run::Going(ran) | Run::Ended(ran, _) => ran,
+                }));
+            }
+        }
+        self.remove(key);
+        if self.entries.len() >= self.most_entries {
+            return Err(Full);
+        }
+        let fresh = Entry { live: vec![id], waiting: Vec::new(), holder: id, until: 0, run: Run::None };
+        self.entries.insert(key.clone(), fresh);
+        Ok(None)
+    }
+
+    /// Keeps the entry, now held by this try.
+    pub fn keep(&mut self, key: &Key, id: RequestId, until: u64) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            self.holders.remove(&entry.holder);
+            (entry.holder, entry.until) = (id, until);
+            self.holders.insert(id, key.clone());
+        }
+    }
+
+    /// Keeps the entry that this try holds no longer; the try itself may be gone.
+    pub fn forget(&mut self, id: RequestId) {
+        let Some(key) = self.holders.remove(&id) else { return };
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.until = 0;
+            if entry.live.is_empty() {
+                self.remove(&key);
+            }
+        }
+    }
+
+    /// A try of it is run.
+    pub fn runs(&mut self, key: &Key, id: RequestId) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.run = Run::Going(id);
+        }
+    }
+
+    /// The run has ended: the tries that waited for it.
+    pub fn ended(&mut self, key: &Key, id: RequestId, result: Option<&Bytes>) -> Vec<RequestId> {
+        let Some(entry) = self.entries.get_mut(key) else { return Vec::new() };
+        if !matches!(entry.run, Run::Going(ran) if ran == id) {
+            return Vec::new();
+        }
+        // A result must outlive the buffer that it was read into.
+        let kept = result.filter(|r| self.bytes + r.len() <= self.most_bytes);
+        self.bytes += kept.map_or(0, |r| r.len());
+        entry.run = Run::Ended(id, kept.cloned());
+        std::mem::take(&mut entry.waiting)
+    }
+
+    /// A try wants the result of the one that it repeats.
+    pub fn attach(&mut self, key: &Key, id: RequestId) -> Attached {
+        let Some(entry) = self.entries.get_mut(key) else { return Attached::Failed };
+        match &entry.run {
+            Run::Ended(_, Some(result)) => Attached::Result(result.clone()),
+            Run::Ended(_, None) => Attached::Failed,
+            Run::None | Run::Going(_) => {
+                entry.waiting.push(id);
+                Attached::Waits
+            }
+        }
+    }
+
+    /// A try has left the request table. The answer is those that wait for a run which now never comes.
+    pub fn leave(&mut self, key: &Key, id: RequestId) -> Vec<RequestId> {
+        let Some(entry) = self.entries.get_mut(key) else { return Vec::new() };
+        entry.live.retain(|&other| other != id);
+        entry.waiting.retain(|&other| other != id);
+        let idle = matches!(entry.run, Run::None) && entry.live.len() == entry.waiting.len();
+        let orphans = if idle { std::mem::take(&mut entry.waiting) } else { Vec::new() };
+        if entry.live.is_empty() && entry.until == 0 {
+            self.remove(key);
+        }
+        orphans
+    }
+
+    /// Drops entries whose time has been over for long enough.
+    pub fn prune(&mut self, now: u64) {
+        let over = |entry: &Entry| entry.live.is_empty() && now >= entry.until.saturating_add(self.late.0);
+        let over: Vec<_> = self.entries.iter().filter(|(_, e)| over(e)).map(|(key, _)| key.clone()).collect();
+        over.iter().for_each(|key| self.remove(key));
+    }
+
+    fn remove(&mut self, key: &Key) {
+        let Some(entry) = self.entries.remove(key) else { return };
+        self.holders.remove(&entry.holder);
+        if let Run::Ended(_, Some(result)) = entry.run {
+            self.bytes -= result.len();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn keys() -> Keys {
+        Keys::new(2, 10, Span(1_000_000))
+    }
+
+    fn id(n: u64) -> RequestId {
+        RequestId(n)
+    }
+
+    fn key(name: &str) -> Key {
+        Key::new(ClassId(0), name.as_bytes())
+    }
+
+    #[test]
+    fn tries_are_linked_in_the_hold_before_anything_is_kept() {
+        let mut keys = keys();
+        assert_eq!(keys.link(&key("a"), id(1), 5), Ok(None));
+        assert_eq!(keys.link(&key("a"), id(2), 6), Ok(Some(id(1))));
+        assert_eq!(keys.link(&key("b"), id(3), 6), Ok(None));
+    }
+
+    #[test]
+    fn a_repeat_is_linked_by_when_it_reached_the_machine() {
+        let mut keys = keys();
+        keys.link(&key("a"), id(1), 5).unwrap();
+        keys.keep(&key("a"), id(1), 100);
+        keys.runs(&key("a"), id(1));
+        assert!(keys.ended(&key("a"), id(1), Some(&Bytes::from_static(b"r"))).is_empty());
+        keys.leave(&key("a"), id(1));
+        keys.prune(900_000);
+        assert_eq!(keys.link(&key("a"), id(2), 99), Ok(Some(id(1))));
+        assert_eq!(keys.attach(&key("a"), id(2)), Attached::Result(Bytes::from_static(b"r")));
+        keys.leave(&key("a"), id(2));
+        assert_eq!(keys.link(&key("a"), id(3), 100), Ok(None));
+        assert_eq!(keys.bytes, 0);
+    }
+
+    #[test]
+    fn those_that_wait_hear_of_the_end() {
+        let mut keys = keys();
+        keys.link(&key("a"), id(1), 5).unwrap();
+        keys.link(&key("a"), id(2), 6).unwrap();
+        keys.runs(&key("a"), id(1));
+        assert_eq!(keys.attach(&key("a"), id(2)), Attached::Waits);
+        assert_eq!(keys.ended(&key("a"), id(1), None), vec![id(2)]);
+        assert_eq!(keys.attach(&key("a"), id(2)), Attached::Failed);
+    }
+
+    #[test]
+    fn waiting_for_what_is_dropped_unrun_fails() {
+        let mut keys = keys();
+        keys.link(&key("a"), id(1), 5).unwrap();
+        keys.link(&key("a"), id(2), 6).unwrap();
+        assert_eq!(keys.attach(&key("a"), id(2)), Attached::Waits);
+        assert_eq!(keys.leave(&key("a"), id(1)), vec![id(2)]);
+    }
+
+    #[test]
+    fn the_table_is_bounded_in_entries_and_in_bytes() {
+        let mut keys = keys();
+        keys.link(&key("a"), id(1), 5).unwrap();
+        keys.link(&key("b"), id(2), 5).unwrap();
+        assert_eq!(keys.link(&key("c"), id(3), 5), Err(Full));
+        for (name, n) in [("a", 1), ("b", 2)] {
+            keys.keep(&key(name), id(n), 100);
+            keys.runs(&key(name), id(n));
+            keys.ended(&key(name), id(n), Some(&Bytes::from_static(b"sevenby")));
+            keys.leave(&key(name), id(n));
+        }
+        assert_eq!(keys.attach(&key("a"), id(4)), Attached::Result(Bytes::from_static(b"sevenby")));
+        assert_eq!(keys.attach(&key("b"), id(5)), Attached::Failed);
+        keys.prune(2_000_000);
+        assert_eq!((keys.entries.len(), keys.holders.len(), keys.bytes), (0, 0, 0));
+    }
+
+    #[test]
+    fn what_is_forgotten_is_new_again() {
+        let mut keys = keys();
+        keys.link(&key("a"), id(1), 5).unwrap();
+        keys.keep(&key("a"), id(1), 100);
+        keys.leave(&key("a"), id(1));
+        keys.forget(id(1));
+        assert_eq!(keys.link(&key("a"), id(2), 6), Ok(None));
+    }
+}
--- /dev/null
+++ b/crates/heathspurd/src/lib.rs
@@ -0,0 +1,89 @@
+//! heathspur's decisions on sockets: one server of a fleet, as a library that others can embed.
+//!
+//! A request passes `take_in` (read), `admit` (known and linked), `route` (what the module wants done),
+//! `send` (to interpreter and store), `relay` (the answer) and `book` (given back). One task, [`owner`],
+//! owns the module and all requests; connections and links only carry bytes to it and from it.
+#![forbid(unsafe_code)]
+
+#[macro_use]
+mod log;
+
+pub mod config;
+
+mod admit;
+mod announce;
+mod book;
+mod clock;
+mod inbox;
+mod interpreter;
+mod keys;
+mod owner;
+mod relay;
+mod route;
+mod send;
+mod signals;
+mod store;
+mod take_in;
+
+use async_executor::LocalExecutor;
+use config::Config;
+use std::fmt;
+use std::io;
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// Why a server could not do its work.
+#[derive(Debug)]
+pub enum Fault {
+    /// Its configuration can't be used.
+    Config(config::Fault),
+    /// Its address could not be bound.
+    Bind(std::net::SocketAddr, io::Error),
+    /// The notice to drain can't be heard.
+    Signals(io::Error),
+}
+
+impl Fault {
+    /// The exit code that says so.
+    pub fn code(&self) -> u8 {
+        match self {
+            Fault::Config(_) => 2,
+            Fault::Bind(..) | Fault::Signals(_) => 1,
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Config(fault) => fault.fmt(f),
+            Fault::Bind(address, e) => write!(f, "cannot listen on {address}: {e}"),
+            Fault::Signals(e) => write!(f, "cannot hear signals: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// The whole program: reads the configuration that `NODE_CONFIG` names and serves until it is drained.
+pub fn main() -> ExitCode {
+    let served = config::path().and_then(|path| Config::read(Path::new(&path))).map_err(Fault::Config);
+    match served.and_then(serve) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("heathspurd: {fault}");
+            ExitCode::from(fault.code())
+        }
+    }
+}
+
+/// Serves until the process is told to drain and all is answered.
+pub fn serve(config: Config) -> Result<(), Fault> {
+    let listener = TcpListener::bind(config.listen).map_err(|e| Fault::Bind(config.listen, e))?;
+    let executor = Rc::new(LocalExecutor::new());
+    let notice = signals::drain().map_err(Fault::Signals)?;
+    async_io::block_on(executor.run(owner::serve(executor.clone(), config, listener, notice)))
+        .map_err(Fault::Signals)
+}
--- /dev/null
+++ b/crates/heathspurd/src/relay.rs
@@ -0,0 +1,72 @@
+//! Stage five: the one final answer of each request, back to the connection it came on.
+
+use crate::inbox::Answer;
+use crate::owner::Owner;
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncWriteExt};
+use heathspur::RequestId;
+use heathspur_wire::http::{self, Last};
+use std::io;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// A peer that takes none of its answer for so long is left.
+const SLOW: Duration = Duration::from_secs(10);
+
+impl Owner {
+    /// Hands the answer to the request's connection, once; later ones go nowhere.
+    pub(crate) fn answer(&mut self, id: RequestId, answer: Answer) {
+        if let Some(reply) = self.table.get_mut(id).and_then(|entry| entry.reply.take()) {
+            // A closed connection has told us, or will, that its caller is gone.
+            let _ = reply.try_send(answer);
+        }
+    }
+}
+
+/// Writes an answer; an error means that the connection is of no more use.
+pub(crate) async fn write(stream: &Async<TcpStream>, answer: &Answer, last: Last) -> io::Result<()> {
+    let mut out = Vec::with_capacity(256);
+    match answer {
+        Answer::Served(body) => {
+            out.reserve(body.len());
+            http::write_answer(&mut out, 200, &[], last, body);
+        }
+        Answer::Refused { stay_away, last: give_up } => {
+            let mut fields = Vec::with_capacity(2);
+            if let Some(span) = stay_away {
+                fields.push(("X-Throttle-Ms", span.0.div_ceil(1000)));
+            }
+            if *give_up {
+                fields.push(("X-Give-Up", 1));
+            }
+            http::write_answer(&mut out, 503, &fields, last, b"");
+        }
+        Answer::Failed => http::write_answer(&mut out, 500, &[], last, b""),
+        Answer::GivenUp => http::write_answer(&mut out, 504, &[], last, b""),
+        Answer::Conflict => http::write_answer(&mut out, 409, &[], last, b""),
+    }
+    put(stream, &out).await
+}
+
+/// Answers a health check.
+pub(crate) async fn health(stream: &Async<TcpStream>, good: bool, last: Last) -> io::Result<()> {
+    let mut out = Vec::new();
+    http::write_answer(&mut out, if good { 200 } else { 503 }, &[], last, b"");
+    put(stream, &out).await
+}
+
+/// Answers what is no request that can be taken, and ends its connection.
+pub(crate) async fn turn_away(stream: &Async<TcpStream>, status: u16) {
+    let mut out = Vec::new();
+    http::write_answer(&mut out, status, &[], Last::Yes, b"");
+    // The connection ends either way.
+    let _ = put(stream, &out).await;
+}
+
+async fn put(mut stream: &Async<TcpStream>, out: &[u8]) -> io::Result<()> {
+    let slow = async {
+        Timer::after(SLOW).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    future::or(stream.write_all(out), slow).await
+}
--- /dev/null
+++ b/crates/heathspurd/src/route.rs
@@ -0,0 +1,61 @@
+//! Stage three: each action of the module goes to where it is carried out.
+
+use crate::book::{Told, Work};
+use crate::clock;
+use crate::inbox::Answer;
+use crate::keys::Attached;
+use crate::owner::Owner;
+use heathspur::{Action, RequestId, Span};
+use std::cmp::Reverse;
+
+impl Owner {
+    pub(crate) fn route(&mut self, action: Action) {
+        match action {
+            Action::Run(id) => self.run(id),
+            Action::Stop(id) => self.stop(id),
+            Action::Refuse { id, stay_away, last } => {
+                self.answer(id, Answer::Refused { stay_away, last });
+                self.discard(id);
+            }
+            Action::Fail(id) => {
+                self.answer(id, Answer::GivenUp);
+                self.discard(id);
+            }
+            Action::Call { id, limit } => self.call(id, limit),
+            Action::Skip(id) => self.go_on(id, |need| Told::Stub(need.index)),
+            Action::Keep { id, ttl } => {
+                if let Some(key) = self.table.get(id).and_then(|entry| entry.key.as_ref()) {
+                    self.keys.keep(key, id, clock::unix() + ttl.0);
+                }
+            }
+            Action::Forget(id) => self.keys.forget(id),
+            Action::Reuse(id) => self.reuse(id),
+            Action::Health { good, .. } => {
+                self.front.good.set(good);
+                self.report.set(good);
+            }
+            // These callers are told no free value.
+            Action::Say(_) => {}
+            Action::CloseIdle(after) => {
+                let all = after == Span(0);
+                self.front.idle.set(if all { self.settings.idle } else { after });
+            }
+            Action::Timer { after, token } => {
+                self.timers.push(Reverse((self.now + after, token)));
+            }
+            Action::Log(text) => log!("{text}"),
+        }
+    }
+
+    /// Answers a repeat with the result of the try that ran, or lets it wait for that.
+    fn reuse(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get_mut(id) else { return };
+        let Some(key) = entry.key.as_ref().filter(|_| matches!(entry.work, Work::Held)) else { return };
+        entry.work = Work::Waiting { since: self.now };
+        match self.keys.attach(key, id) {
+            Attached::Waits => {}
+            Attached::Result(body) => self.end_waiting(id, Some(&body)),
+            Attached::Failed => self.end_waiting(id, None),
+        }
+    }
+}
--- /dev/null
+++ b/crates/heathspurd/src/send.rs
@@ -0,0 +1,78 @@
+//! Stage four: what the interpreter and the store are told of a request.
+
+use crate::book::{Halting, Need, Told, Work};
+use crate::owner::Owner;
+use crate::store::CallId;
+use heathspur::{RequestId, Span};
+use heathspur_wire::interpreter::Command;
+
+/// Time past its limit at which a call that nothing was heard of is given up here: the store tells first.
+const BACKSTOP: Span = Span(20_000);
+
+impl Owner {
+    /// Starts a held request, or goes on with a paused one.
+    pub(crate) fn run(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get_mut(id) else { return };
+        let (since, told) = match entry.work {
+            Work::Held => (self.now, Told::Apply),
+            Work::Paused { since } => (since, Told::Continue),
+            _ => return,
+        };
+        entry.work = Work::Running { since, told, halting: Halting::No };
+        if let Some(key) = &entry.key {
+            self.keys.runs(key, id);
+        }
+        self.tell(id);
+    }
+
+    /// Stops a run.
+    pub(crate) fn stop(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get_mut(id) else { return };
+        if let Work::Running { halting, .. } = &mut entry.work {
+            *halting = Halting::Asked;
+            if self.link.is_up() {
+                self.interpreter.send(Command::Break(entry.txn.as_str()));
+            }
+        }
+    }
+
+    /// Makes the call that a run waits for.
+    pub(crate) fn call(&mut self, id: RequestId, limit: Span) {
+        let Some(entry) = self.table.get_mut(id) else { return };
+        let Work::AtCall { since, need } = entry.work.clone() else { return };
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        let until = self.now + limit + BACKSTOP;
+        self.store.call(id, call, entry.txn, (limit.0 / 1000).max(1), need.body.clone());
+        self.call_timers.insert((until, id));
+        entry.work = Work::Calling { since, need, call, made: self.now, until };
+    }
+
+    /// Goes on with the reply to the call, or without it.
+    pub(crate) fn go_on(&mut self, id: RequestId, told: impl FnOnce(&Need) -> Told) {
+        let Some(entry) = self.table.get_mut(id) else { return };
+        let (Work::AtCall { since, need } | Work::Calling { since, need, .. }) = &entry.work else {
+            return;
+        };
+        entry.work = Work::Running { since: *since, told: told(need), halting: Halting::No };
+        self.tell(id);
+    }
+
+    /// Tells the interpreter where a running request stands; once more after the link was made again.
+    pub(crate) fn tell(&self, id: RequestId) {
+        let Some(entry) = self.table.get(id).filter(|_| self.link.is_up()) else { return };
+        let Work::Running { told, halting, .. } = &entry.work else { return };
+        let task = entry.txn.as_str();
+        self.interpreter.send(match told {
+            Told::Apply => {
+                Command::Apply { task, class: &self.front.names.classes[entry.class.0], body: &entry.body }
+            }
+            Told::Continue => Command::Continue(task),
+            Told::Resolve(body) => Command::Resolve { task, body },
+            Told::Stub(index) => Command::Stub { task, index: *index },
+        });
+        if *halting == Halting::Asked {
+            self.interpreter.send(Command::Break(task));
+        }
+    }
+}
