Read told patience and cost of requests, and send the free value with answers

Without them the module goes by the class's deadline and mean work alone. Faulty lines: take_in.rs `request`, admit.rs (patience and cost were always none), route.rs (the free value went nowhere).

Patience is what was told, less the time since the request reached the machine.

--- a/crates/heathspur-wire/src/http.rs
+++ b/crates/heathspur-wire/src/http.rs
@@ -210,8 +210,8 @@
     })
 }
 
-/// Appends an answer. Each field is a name and a value; a body without bytes is told as such.
-pub fn write_answer(out: &mut Vec<u8>, status: u16, fields: &[(&str, u64)], last: Last, body: &[u8]) {
+/// Appends an answer. Each field is a name and a number; a body without bytes is told as such.
+pub fn write_answer(out: &mut Vec<u8>, status: u16, fields: &[(&str, f64)], last: Last, body: &[u8]) {
     out.extend_from_slice(format!("HTTP/1.1 {status} {}\r\n", reason(status)).as_bytes());
     for (name, value) in fields {
         out.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
--- a/crates/heathspur-wire/tests/http.rs
+++ b/crates/heathspur-wire/tests/http.rs
@@ -123,11 +123,12 @@
 #[test]
 fn what_is_written_is_read_back() {
     let mut out = Vec::new();
-    write_answer(&mut out, 503, &[("X-Throttle-Ms", 250), ("X-Give-Up", 1)], Last::Yes, b"\0\xff");
+    write_answer(&mut out, 503, &[("X-Throttle-Ms", 250.0), ("X-Capacity", 0.125)], Last::Yes, b"\0\xff");
     let m = read(&out).unwrap().unwrap();
     assert_eq!(status_line(&out[m.first.clone()]), Ok(503));
     assert!(says_close(Fields::over(&out[m.fields.clone()])));
     assert!(Fields::over(&out[m.fields.clone()]).any(|f| f == Ok((b"X-Throttle-Ms", b"250"))));
+    assert!(Fields::over(&out[m.fields.clone()]).any(|f| f == Ok((b"X-Capacity", b"0.125"))));
     assert_eq!((&out[m.body.clone()], m.body.end), (&b"\0\xff"[..], out.len()));
     out.clear();
     write_call(&mut out, "PUT", "/announce/n3", "host", br#"{"accepting":"true"}"#);
--- a/crates/heathspurd/src/admit.rs
+++ b/crates/heathspurd/src/admit.rs
@@ -4,7 +4,7 @@
 use crate::inbox::{Answer, Arrival};
 use crate::keys::Key;
 use crate::owner::Owner;
-use heathspur::{Event, Request};
+use heathspur::{Event, Request, Span};
 
 impl Owner {
     pub(crate) fn admit(&mut self, arrival: Arrival) {
@@ -28,16 +28,18 @@
                 return;
             }
         };
+        let waited = clock::since(arrival.ingress, clock::unix());
         self.events.push(Event::Request(Request {
             id: arrival.id,
             class: arrival.class,
             tenant: arrival.tenant,
             has_key: arrival.row,
-            patience: None,
-            cost: None,
+            // None at all is no patience told, so what has run out leaves the smallest span.
+            patience: arrival.left.map(|left| Span(left.0.saturating_sub(waited.0).max(1))),
+            cost: arrival.cost.filter(|cost| *cost > 0.0),
             held_kb: arrival.held_kb,
             retry: arrival.retry,
-            waited: clock::since(arrival.ingress, clock::unix()),
+            waited,
             repeats,
         }));
         self.table.insert(arrival, key);
--- a/crates/heathspurd/src/inbox.rs
+++ b/crates/heathspurd/src/inbox.rs
@@ -37,6 +37,10 @@
     pub key: Option<Bytes>,
     pub row: bool,
     pub retry: bool,
+    /// How long its caller waits, from `ingress` on, where that is told.
+    pub left: Option<Span>,
+    /// Its likely work in seconds, where that is told.
+    pub cost: Option<f64>,
     pub held_kb: f64,
     pub body: Bytes,
     /// The way back to its connection; closed once the caller is gone.
@@ -83,6 +87,8 @@
     pub good: Cell<bool>,
     /// Idle connections are closed after this.
     pub idle: Cell<Span>,
+    /// The free value that answers and checks carry, once it is set.
+    pub free_value: Cell<Option<f64>>,
     /// Every answer is the last on its connection.
     pub leaving: Cell<bool>,
     /// Closed, never sent on, once no new request is taken: idle connections close.
--- a/crates/heathspurd/src/owner.rs
+++ b/crates/heathspurd/src/owner.rs
@@ -111,6 +111,7 @@
         next_id: Cell::new(1),
         good: Cell::new(false),
         idle: Cell::new(config.settings.idle),
+        free_value: Cell::new(None),
         leaving: Cell::new(false),
         shutting,
         open: Cell::new(0),
--- a/crates/heathspurd/src/relay.rs
+++ b/crates/heathspurd/src/relay.rs
@@ -1,6 +1,6 @@
 //! Stage five: the one final answer of each request, back to the connection it came on.
 
-use crate::inbox::Answer;
+use crate::inbox::{Answer, Front};
 use crate::link::within;
 use crate::owner::Owner;
 use async_io::Async;
@@ -25,37 +25,46 @@
 }
 
 /// Writes an answer; an error means that the connection is of no more use.
-pub(crate) async fn write(stream: &Async<TcpStream>, answer: &Answer, last: Last) -> io::Result<()> {
-    let mut out = Vec::with_capacity(256);
-    match answer {
-        Answer::Served(body) => {
-            out.reserve(body.len());
-            http::write_answer(&mut out, 200, &[], last, body);
-        }
+pub(crate) async fn write(
+    stream: &Async<TcpStream>,
+    front: &Front,
+    answer: &Answer,
+    last: Last,
+) -> io::Result<()> {
+    let mut fields = free_value(front);
+    let (status, body) = match answer {
+        Answer::Served(body) => (200, &body[..]),
         Answer::Refused { stay_away, last: give_up } => {
-            let mut fields = Vec::with_capacity(2);
             if let Some(span) = stay_away {
-                fields.push(("X-Throttle-Ms", span.0.div_ceil(1000)));
+                fields.push(("X-Throttle-Ms", span.0.div_ceil(1000) as f64));
             }
             if *give_up {
-                fields.push(("X-Give-Up", 1));
+                fields.push(("X-Give-Up", 1.0));
             }
-            http::write_answer(&mut out, 503, &fields, last, b"");
+            (503, &b""[..])
         }
-        Answer::Failed => http::write_answer(&mut out, 500, &[], last, b""),
-        Answer::GivenUp => http::write_answer(&mut out, 504, &[], last, b""),
-        Answer::Conflict => http::write_answer(&mut out, 409, &[], last, b""),
-    }
+        Answer::Failed => (500, &b""[..]),
+        Answer::GivenUp => (504, &b""[..]),
+        Answer::Conflict => (409, &b""[..]),
+    };
+    let mut out = Vec::with_capacity(256 + body.len());
+    http::write_answer(&mut out, status, &fields, last, body);
     put(stream, &out).await
 }
 
 /// Answers a health check.
-pub(crate) async fn health(stream: &Async<TcpStream>, good: bool, last: Last) -> io::Result<()> {
+pub(crate) async fn health(stream: &Async<TcpStream>, front: &Front, last: Last) -> io::Result<()> {
     let mut out = Vec::new();
-    http::write_answer(&mut out, if good { 200 } else { 503 }, &[], last, b"");
+    let status = if front.good.get() { 200 } else { 503 };
+    http::write_answer(&mut out, status, &free_value(front), last, b"");
     put(stream, &out).await
 }
 
+/// The field that every answer and check carries once the value is set.
+fn free_value(front: &Front) -> Vec<(&'static str, f64)> {
+    front.free_value.get().map(|value| ("X-Capacity", value)).into_iter().collect()
+}
+
 /// Answers what is no request that can be taken, and ends its connection.
 pub(crate) async fn turn_away(stream: &Async<TcpStream>, status: u16) {
     let mut out = Vec::new();
--- a/crates/heathspurd/src/route.rs
+++ b/crates/heathspurd/src/route.rs
@@ -34,8 +34,7 @@
                 self.front.good.set(good);
                 self.report.set(good);
             }
-            // These callers are told no free value.
-            Action::Say(_) => {}
+            Action::Say(value) => self.front.free_value.set(Some(value)),
             Action::CloseIdle(after) => {
                 let all = after == Span(0);
                 self.front.idle.set(if all { self.settings.idle } else { after });
--- a/crates/heathspurd/src/take_in.rs
+++ b/crates/heathspurd/src/take_in.rs
@@ -6,7 +6,7 @@
 use async_io::{Async, Timer};
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::{future, AsyncReadExt};
-use heathspur::{ClassId, RequestId, TenantId};
+use heathspur::{ClassId, RequestId, Span, TenantId};
 use heathspur_wire::http::{self, Fields, Last, Message, Reader};
 use std::io;
 use std::net::{TcpListener, TcpStream};
@@ -61,7 +61,7 @@
         let whole = buffer.split_to(message.body.end).freeze();
         let mut last = if close { Last::Yes } else { Last::No };
         let answered = match understand(&whole, &message, &front) {
-            Asked::Health => relay::health(&stream, front.good.get(), last).await,
+            Asked::Health => relay::health(&stream, &front, last).await,
             Asked::Bad(status) => return relay::turn_away(&stream, status).await,
             Asked::Request(arrival, answers) => {
                 let id = arrival.id;
@@ -74,7 +74,7 @@
                         if front.leaving.get() {
                             last = Last::Yes;
                         }
-                        relay::write(&stream, &answer, last).await
+                        relay::write(&stream, &front, &answer, last).await
                     }
                     None => {
                         answers.close();
@@ -195,6 +195,7 @@
 ) -> Option<(Arrival, async_channel::Receiver<Answer>)> {
     let (mut txn, mut ingress, mut held_kb) = (None, None, None);
     let (mut key, mut row, mut tenant, mut retry) = (None, None, None, false);
+    let (mut left, mut cost) = (None, None);
     for field in Fields::over(&whole[message.fields.clone()]) {
         let (name, value) = field.ok()?;
         let is = |known: &str| name.eq_ignore_ascii_case(known.as_bytes());
@@ -211,6 +212,10 @@
             std::mem::replace(&mut retry, value == b"1")
         } else if is("X-Txn-Key") {
             key.replace(subject(whole, value)?).is_some()
+        } else if is("X-Ttl-Ms") {
+            left.replace(Span::from_secs(decimal(value).filter(|ms| *ms >= 0.0)? / 1000.0)).is_some()
+        } else if is("X-Cpu-Hint") {
+            cost.replace(decimal(value).filter(|ms| *ms >= 0.0)? / 1000.0).is_some()
         } else if is("X-Row") {
             row.replace(subject(whole, value)?).is_some()
         } else {
@@ -236,6 +241,8 @@
         key,
         row: row.is_some(),
         retry,
+        left,
+        cost,
         held_kb: held_kb?,
         body: whole.slice(message.body.clone()),
         reply,
--- a/crates/heathspurd/tests/server.rs
+++ b/crates/heathspurd/tests/server.rs
@@ -302,6 +302,36 @@
     assert_eq!(rig.process.wait().code(), Some(0));
 }
 
+#[test]
+fn a_told_patience_ends_one_request_and_leaves_the_other() {
+    let rig = Rig::start();
+    let mut vm = rig.link();
+    let (mut patient, mut hasty) = (rig.client(), rig.client());
+    patient.send(&request(1, None, b"abc"));
+    vm.apply();
+    let text = String::from_utf8(request(2, None, b"abc")).unwrap();
+    hasty.send(text.replace("X-Router: 4", "X-Router: 4\r\nX-Ttl-Ms: 300\r\nX-Cpu-Hint: 29.5").as_bytes());
+    vm.apply();
+    let (status, _, _) = hasty.answer();
+    assert!(status == 503 || status == 504, "{status}");
+    vm.value(&task(1), "complete", b"one");
+    assert_eq!(patient.answer().2, b"one");
+}
+
+#[test]
+fn the_free_value_stands_in_answers_and_checks() {
+    let rig = Rig::with(|c| c["settings"]["family-info"]["say"] = json!("level"));
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    client.send(&request(1, None, b"abc"));
+    vm.apply();
+    rig.process.terminate();
+    while rig.reports.recv_timeout(NEVER).unwrap() != json!({"accepting": "false"}) {}
+    vm.value(&task(1), "complete", b"one");
+    let (_, fields, _) = client.answer();
+    assert_eq!(fields["x-capacity"], "1");
+}
+
 #[test]
 fn health_is_bad_until_the_interpreter_is_up_and_good_after_that() {
     let rig = Rig::start();
@@ -362,6 +392,8 @@
         (400, whole.replace("X-Working-Set-Kb: 24.5", "X-Working-Set-Kb: 0")),
         (400, whole.replace("X-Working-Set-Kb: 24.5", "X-Working-Set-Kb: inf")),
         (400, whole.replace("X-Merchant: north", "X-Merchant: south")),
+        (400, whole.replace("X-Router: 4", "X-Ttl-Ms: soon")),
+        (400, whole.replace("X-Router: 4", "X-Cpu-Hint: -1")),
         (400, keyed.replace("X-Txn-Key: k", "X-Txn-Key: ")),
         (400, keyed.replace("X-Txn-Key:", "X-Other:")),
     ];
