Take a call that was never written as proven not to have run

Cause: a call whose time was over while the link still waited for a connection was reported as timed out, which may have had its effect, so a keyed request failed that could have been called for again. Faulty lines: owner.rs `take_time`, the fixed `Timeout`; store.rs `give_up` knew better and did not say. Ruled out: a refused connection, which was ConnectFailed already. A test of the queue alone holds it.

--- a/crates/heathspurd/src/owner.rs
+++ b/crates/heathspurd/src/owner.rs
@@ -1,7 +1,7 @@
 //! The one task that owns the module and all requests. It takes in what has arrived as one batch, lets the
 //! module decide once, and carries the actions out in order. It never waits for a peer.
 
-use crate::book::{Table, Told, Work};
+use crate::book::{Halting, Need, Table, Told, Work};
 use crate::clock::{self, Clock};
 use crate::config::Config;
 use crate::inbox::{Answer, Arrival, Front, News};
@@ -13,6 +13,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::Signals;
+use bytes::Bytes;
 use futures_lite::{future, StreamExt};
 use heathspur::{
     Action, Effect, Event, Gauges, Halt, Outcome, RequestId, Server, Settings, Span, Time, Token,
@@ -303,10 +304,10 @@
         }
         while self.call_timers.first().is_some_and(|(at, _)| *at <= self.now) {
             let Some((_, id)) = self.call_timers.pop_first() else { break };
-            if let Some(Work::Calling { call, .. }) = self.table.get(id).map(|e| e.work.clone()) {
-                let txn = self.table.get(id).map(|e| e.txn);
-                txn.into_iter().for_each(|txn| self.store.give_up(txn, call));
-                self.call_ended(id, Outcome::Timeout);
+            let Some(entry) = self.table.get(id) else { continue };
+            if let Work::Calling { call, .. } = entry.work {
+                let outcome = self.store.give_up(entry.txn, call);
+                self.call_ended(id, outcome);
             }
         }
         if matches!(self.link, LinkState::Resuming(_, until) if until <= self.now) {
@@ -357,14 +358,11 @@
                 }
             }
             Heard::Waits { txn, index, body } => {
-                let Some(entry) = self.table.named(&txn).and_then(|id| self.table.get_mut(id)) else {
-                    return;
-                };
+                let Some(id) = self.table.named(&txn) else { return };
+                let Some(entry) = self.table.get_mut(id) else { return };
                 if let Work::Running { since, .. } = entry.work {
-                    entry.work = Work::AtCall { since, need: crate::book::Need { index, body } };
-                    if let Some(id) = self.table.named(&txn) {
-                        self.events.push(Event::NeedsCall(id));
-                    }
+                    entry.work = Work::AtCall { since, need: Need { index, body } };
+                    self.events.push(Event::NeedsCall(id));
                 }
             }
             Heard::Refused { command, txn } => {
@@ -372,7 +370,7 @@
                 let work = id.and_then(|id| self.table.get(id)).map(|e| &e.work);
                 let started = matches!(work, Some(Work::Running { told: Told::Apply, .. }));
                 if let (Some(id), true, "APPLY") = (id, started, &*command) {
-                    self.run_ended(id, End::Error, bytes::Bytes::new());
+                    self.run_ended(id, End::Error, Bytes::new());
                 }
                 log!("the interpreter did not carry out {command:?}");
             }
@@ -388,10 +386,10 @@
     }
 
     /// A run is over, or stopped and to go on later.
-    fn run_ended(&mut self, id: RequestId, end: End, body: bytes::Bytes) {
+    fn run_ended(&mut self, id: RequestId, end: End, body: Bytes) {
         let Some(entry) = self.table.get_mut(id) else { return };
         let (since, halted) = match &entry.work {
-            Work::Running { since, halting, .. } => (*since, *halting == crate::book::Halting::Asked),
+            Work::Running { since, halting, .. } => (*since, *halting == Halting::Asked),
             Work::AtCall { since, .. } | Work::Calling { since, .. } => (*since, false),
             Work::Held | Work::Paused { .. } | Work::Waiting { .. } => return,
         };
--- a/crates/heathspurd/src/store.rs
+++ b/crates/heathspurd/src/store.rs
@@ -51,17 +51,16 @@
         self.push(Item::Call { id, call, txn, limit_ms, body });
     }
 
-    /// Gives a call up: nothing more is heard of it.
-    pub fn give_up(&self, txn: Txn, call: CallId) {
-        let mut queue = self.queue.borrow_mut();
-        let waits = queue.iter().position(|item| matches!(item, Item::Call { call: c, .. } if *c == call));
-        match waits {
-            Some(at) => drop(queue.remove(at)),
-            None => {
-                drop(queue);
-                self.push(Item::Drop(txn, call));
-            }
+    /// Gives a call up: nothing more is heard of it. The outcome says what that proves.
+    pub fn give_up(&self, txn: Txn, call: CallId) -> Outcome {
+        let is_it = |item: &Item| matches!(item, Item::Call { call: c, .. } if *c == call);
+        let waits = self.queue.borrow().iter().position(is_it);
+        if let Some(at) = waits {
+            self.queue.borrow_mut().remove(at);
+            return Outcome::ConnectFailed;
         }
+        self.push(Item::Drop(txn, call));
+        Outcome::Timeout
     }
 
     fn push(&self, item: Item) {
@@ -184,3 +183,20 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_call_that_was_never_written_is_proven_not_to_have_run() {
+        let link = Link::new();
+        let txn = Txn::read(b"9b1f03aa5c7e2d41").unwrap();
+        link.call(RequestId(1), CallId(1), txn, 250, Bytes::new());
+        link.call(RequestId(1), CallId(2), txn, 250, Bytes::new());
+        assert_eq!(link.give_up(txn, CallId(1)), Outcome::ConnectFailed);
+        link.queue.borrow_mut().pop_front();
+        assert_eq!(link.give_up(txn, CallId(2)), Outcome::Timeout);
+        assert!(matches!(link.queue.borrow()[0], Item::Drop(_, CallId(2))));
+    }
+}
