--- a/crates/heathspur/src/interface.rs
+++ b/crates/heathspur/src/interface.rs
@@ -319,7 +319,8 @@
     Run(RequestId),
     /// Stop running work.
     Stop(RequestId),
-    /// Answer that the request was turned away and never ran.
+    /// Answer that the request was turned away: it never ran, or it is safe, so that running it again
+    /// elsewhere does no harm.
     Refuse {
         /// The request.
         id: RequestId,
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -98,8 +98,8 @@
                 println!("toy: running {task}, which calls the store");
                 notices.send(json!({"verb": "AWAIT", "task": task, "bytes": bytes}))?;
             }
-            "APPLY" | "RESOLVE" | "STUB" => {
-                println!("toy: running {task}");
+            verb @ ("APPLY" | "RESOLVE" | "STUB") => {
+                println!("toy: {} {task}", if verb == "APPLY" { "running" } else { "going on with" });
                 let notices = notices.clone();
                 thread::spawn(move || -> Outcome {
                     thread::sleep(WORK);
