--- a/crates/heathspurd/tests/server.rs
+++ b/crates/heathspurd/tests/server.rs
@@ -11,6 +11,16 @@
     format!("{txn:016x}")
 }
 
+/// A server whose one request, of that key, runs.
+fn one_running(key: Option<&str>) -> (Rig, Vm, Client) {
+    let rig = Rig::start();
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    client.send(&request(1, key, b"abc"));
+    assert_eq!(vm.apply().2, b"abc");
+    (rig, vm, client)
+}
+
 #[test]
 fn a_request_is_served_with_its_bytes_unchanged_on_a_connection_that_stays() {
     let rig = Rig::start();
@@ -142,11 +152,7 @@
 
 #[test]
 fn a_notice_missed_while_the_link_was_down_spares_the_second_run() {
-    let rig = Rig::start();
-    let mut vm = rig.link();
-    let mut client = rig.client();
-    client.send(&request(1, Some("k"), b"abc"));
-    vm.apply();
+    let (rig, vm, mut client) = one_running(Some("k"));
     drop(vm);
     let mut vm = rig.link();
     vm.value(&task(1), "complete", b"one");
@@ -171,22 +177,14 @@
 
 #[test]
 fn a_command_that_was_not_carried_out_fails_its_request() {
-    let rig = Rig::start();
-    let mut vm = rig.link();
-    let mut client = rig.client();
-    client.send(&request(1, None, b"abc"));
-    vm.apply();
+    let (_rig, mut vm, mut client) = one_running(None);
     vm.say(json!({"verb": "ERROR", "outcome": "APPLY", "task": task(1)}));
     assert_eq!(client.answer().0, 500);
 }
 
 #[test]
 fn a_call_and_its_reply_pass_unchanged() {
-    let rig = Rig::start();
-    let mut vm = rig.link();
-    let mut client = rig.client();
-    client.send(&request(1, Some("k"), b"abc"));
-    vm.apply();
+    let (rig, mut vm, mut client) = one_running(Some("k"));
     vm.awaits(&task(1), b"\r\n\0ask");
     let mut store = Store::accept(&rig);
     let (id, body) = store.call();
@@ -202,11 +200,7 @@
 
 #[test]
 fn a_call_that_was_turned_away_is_made_again() {
-    let rig = Rig::start();
-    let mut vm = rig.link();
-    let mut client = rig.client();
-    client.send(&request(1, Some("k"), b"abc"));
-    vm.apply();
+    let (rig, mut vm, _client) = one_running(Some("k"));
     vm.awaits(&task(1), b"ask");
     let mut store = Store::accept(&rig);
     store.call();
@@ -218,11 +212,7 @@
 
 #[test]
 fn a_connection_that_breaks_under_a_keyed_call_proves_nothing_so_it_is_not_made_again() {
-    let rig = Rig::start();
-    let mut vm = rig.link();
-    let mut client = rig.client();
-    client.send(&request(1, Some("k"), b"abc"));
-    vm.apply();
+    let (rig, mut vm, mut client) = one_running(Some("k"));
     vm.awaits(&task(1), b"ask");
     let mut store = Store::accept(&rig);
     store.call();
@@ -253,11 +243,7 @@
 
 #[test]
 fn the_call_of_a_caller_that_goes_away_is_given_up() {
-    let rig = Rig::start();
-    let mut vm = rig.link();
-    let mut client = rig.client();
-    client.send(&request(1, None, b"abc"));
-    vm.apply();
+    let (rig, mut vm, client) = one_running(None);
     vm.awaits(&task(1), b"ask");
     let mut store = Store::accept(&rig);
     store.call();
@@ -272,11 +258,7 @@
 
 #[test]
 fn a_drain_answers_what_is_in_hand_and_ends_the_process() {
-    let mut rig = Rig::start();
-    let mut vm = rig.link();
-    let mut client = rig.client();
-    client.send(&request(1, None, b"abc"));
-    vm.apply();
+    let (mut rig, mut vm, mut client) = one_running(None);
     assert_eq!(rig.reports.recv_timeout(NEVER).unwrap(), json!({"accepting": "true"}));
     rig.process.terminate();
     while rig.reports.recv_timeout(NEVER).unwrap() != json!({"accepting": "false"}) {}
@@ -292,11 +274,7 @@
 
 #[test]
 fn work_that_does_not_end_is_answered_before_the_stop() {
-    let mut rig = Rig::start();
-    let mut vm = rig.link();
-    let mut client = rig.client();
-    client.send(&request(1, Some("k"), b"abc"));
-    vm.apply();
+    let (mut rig, _vm, mut client) = one_running(Some("k"));
     rig.process.terminate();
     assert_eq!(client.answer().0, 504);
     assert_eq!(rig.process.wait().code(), Some(0));
