Read off what is left of a request that is turned away before closing

Cause: a connection closed on unread bytes is reset, and a caller that is still writing a body past the bound sees the reset instead of the 413. Faulty lines: relay.rs `turn_away`, which returned at once after the answer. Bounded to a second and 16 MiB.

--- a/crates/heathspurd/src/relay.rs
+++ b/crates/heathspurd/src/relay.rs
@@ -4,13 +4,16 @@
 use crate::link::within;
 use crate::owner::Owner;
 use async_io::Async;
-use futures_lite::AsyncWriteExt;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use heathspur::RequestId;
 use heathspur_wire::http::{self, Last};
 use std::io;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
+/// What is turned away is read off for so long, and so far, before its connection is closed.
+const LINGER: Duration = Duration::from_secs(1);
+const LINGER_BYTES: usize = 16 << 20;
 /// A peer that takes none of its answer for so long is left.
 const SLOW: Duration = Duration::from_secs(10);
 
@@ -71,6 +74,21 @@
     http::write_answer(&mut out, status, &[], Last::Yes, b"");
     // The connection ends either way.
     let _ = put(stream, &out).await;
+    let _ = within(LINGER, linger(stream)).await;
+}
+
+/// Reads off what the other side still sends. Closing on unread bytes would reset the connection, and the
+/// answer could be lost with it.
+async fn linger(mut stream: &Async<TcpStream>) -> io::Result<()> {
+    stream.get_ref().shutdown(Shutdown::Write)?;
+    let (mut chunk, mut left) = (vec![0; 8 * 1024], LINGER_BYTES);
+    while left > 0 {
+        match stream.read(&mut chunk).await? {
+            0 => break,
+            n => left = left.saturating_sub(n),
+        }
+    }
+    Ok(())
 }
 
 async fn put(mut stream: &Async<TcpStream>, out: &[u8]) -> io::Result<()> {
--- a/crates/heathspurd/tests/server.rs
+++ b/crates/heathspurd/tests/server.rs
@@ -386,6 +386,20 @@
     assert_eq!(vm.apply().0, task(2));
 }
 
+#[test]
+fn an_answer_to_what_is_too_large_is_not_lost_with_the_bytes_left_unread() {
+    let rig = Rig::start();
+    let _vm = rig.link();
+    let head = String::from_utf8(request(1, None, b"")).unwrap();
+    let body = vec![b'x'; 8_000_000];
+    let text = head.replace("Content-Length: 0", "Content-Length: 8000000");
+    for _ in 0..20 {
+        let mut client = rig.client();
+        client.send(&[text.as_bytes(), &body].concat());
+        assert_eq!(client.answer().0, 413);
+    }
+}
+
 #[test]
 fn a_second_request_of_the_same_name_is_not_taken_while_the_first_is_open() {
     let rig = Rig::start();
