Bind a key to its body, check every field, and let silent connections make room

Printing each request showed that those served carried the key of a request known here with another body: keys.rs linked them by the key alone, also after the first try had been refused. Ruled out: unknown classes, tenants, ids, and a length beside a transfer coding, all turned away already. The full table came from connections that never say anything or ask once and stay: take_in.rs waited 30 s for those and accepted nothing meanwhile.

Now an entry of the table of keys remembers its body in short for the window; every field of the protocol is checked; a new connection has 2 s to say something and a request 2 s to be whole; near the bound the connection that has rested longest leaves, first of those that never sent a request.

--- a/crates/heathspur-wire/src/http.rs
+++ b/crates/heathspur-wire/src/http.rs
@@ -249,6 +249,7 @@
         408 => "Request Timeout",
         409 => "Conflict",
         413 => "Content Too Large",
+        422 => "Unprocessable Content",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
         503 => "Service Unavailable",
--- a/crates/heathspurd/src/admit.rs
+++ b/crates/heathspurd/src/admit.rs
@@ -2,9 +2,9 @@
 
 use crate::clock;
 use crate::inbox::{Answer, Arrival};
-use crate::keys::Key;
+use crate::keys::{Barred, Key, Try};
 use crate::owner::Owner;
-use heathspur::{Event, Request, Span};
+use heathspur::{Effect, Event, Request, Span};
 
 impl Owner {
     pub(crate) fn admit(&mut self, arrival: Arrival) {
@@ -18,15 +18,25 @@
         }
         let linked = !arrival.row || self.settings.fresh.0 > 0;
         let key = arrival.key.as_ref().filter(|_| linked).map(|bytes| Key::new(arrival.class, bytes));
-        let repeats = match key.as_ref().map(|key| self.keys.link(key, arrival.id, arrival.ingress)) {
+        let keyed = self.settings.classes[arrival.class.0].effect == Effect::Keyed;
+        // Reads of one thing may ask for it in different words.
+        let body = if keyed { self.keys.digest(&arrival.body) } else { 0 };
+        let window = self.settings.classes[arrival.class.0].window;
+        let this = Try { id: arrival.id, ingress: arrival.ingress, body, window };
+        let repeats = match key.as_ref().map(|key| self.keys.link(key, this)) {
             None => None,
             Some(Ok(repeats)) => repeats,
-            Some(Err(full)) => {
+            Some(Err(Barred::Full)) => {
                 // A repeat could not be told any more, so it must not run here.
-                log!("a request was turned away: {full}");
+                log!("a request was turned away: the table of keys is full");
                 let _ = arrival.reply.try_send(Answer::Refused { stay_away: None, last: false });
                 return;
             }
+            Some(Err(Barred::OtherBody)) => {
+                log!("a request was turned away: its key came with another body before");
+                let _ = arrival.reply.try_send(Answer::KeyReused);
+                return;
+            }
         };
         let waited = clock::since(arrival.ingress, clock::unix());
         self.events.push(Event::Request(Request {
--- a/crates/heathspurd/src/inbox.rs
+++ b/crates/heathspurd/src/inbox.rs
@@ -1,5 +1,6 @@
 //! What reaches the owner, and what all connections share with it.
 
+use crate::crowd::Crowd;
 use crate::interpreter;
 use crate::store;
 use async_channel::{Receiver, Sender};
@@ -7,7 +8,6 @@
 use heathspur::{ClassId, RequestId, Span, TenantId};
 use heathspur_settings::Names;
 use std::cell::Cell;
-use std::rc::Rc;
 
 /// The name of a try on the wire: 16 hexadecimal digits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -60,6 +60,8 @@
     GivenUp,
     /// A request of that name is open already.
     Conflict,
+    /// Its idempotency key came with another body before.
+    KeyReused,
 }
 
 /// What happened beside requests that were read.
@@ -93,30 +95,6 @@
     pub leaving: Cell<bool>,
     /// Closed, never sent on, once no new request is taken: idle connections close.
     pub shutting: Receiver<()>,
-    /// Connections open now.
-    pub open: Cell<usize>,
-    /// Connections open at most.
-    pub most_open: usize,
-}
-
-/// One connection's place under the bound; given back when it is dropped.
-pub(crate) struct Place(Rc<Front>);
-
-impl Place {
-    pub fn take(front: &Rc<Front>) -> Option<Place> {
-        (front.open.get() < front.most_open).then(|| {
-            front.open.set(front.open.get() + 1);
-            Place(front.clone())
-        })
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        if self.0.shutting.is_closed() {
-            // The owner may be waiting for the last one; when its queue is full it looks again anyway.
-            let _ = self.0.news.try_send(News::Closed);
-        }
-    }
+    /// The connections.
+    pub crowd: Crowd,
 }
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -14,6 +14,7 @@
 mod announce;
 mod book;
 mod clock;
+mod crowd;
 mod inbox;
 mod interpreter;
 mod keys;
--- a/crates/heathspurd/src/owner.rs
+++ b/crates/heathspurd/src/owner.rs
@@ -4,6 +4,7 @@
 use crate::book::{Halting, Need, Table, Told, Work};
 use crate::clock::{self, Clock};
 use crate::config::Config;
+use crate::crowd::Crowd;
 use crate::inbox::{Answer, Arrival, Front, News};
 use crate::interpreter::{self, News as Heard};
 use crate::keys::Keys;
@@ -115,8 +116,7 @@
         free_value: Cell::new(None),
         leaving: Cell::new(false),
         shutting,
-        open: Cell::new(0),
-        most_open: config.sockets.saturating_sub(SPARE).max(1),
+        crowd: Crowd::new(config.sockets.saturating_sub(SPARE)),
     });
     let interpreter = interpreter::Link::new();
     let store = store::Link::new();
@@ -459,6 +459,6 @@
             self.shutter.close();
         }
         let owed = || self.table.find(|entry| entry.reply.is_some()).len();
-        self.front.shutting.is_closed() && (self.front.open.get() == 0 && owed() == 0 || self.now >= end)
+        self.front.shutting.is_closed() && (self.front.crowd.open() == 0 && owed() == 0 || self.now >= end)
     }
 }
--- a/crates/heathspurd/src/relay.rs
+++ b/crates/heathspurd/src/relay.rs
@@ -49,6 +49,7 @@
         Answer::Failed => (500, &b""[..]),
         Answer::GivenUp => (504, &b""[..]),
         Answer::Conflict => (409, &b""[..]),
+        Answer::KeyReused => (422, &b""[..]),
     };
     let mut out = Vec::with_capacity(256 + body.len());
     http::write_answer(&mut out, status, &fields, last, body);
--- a/crates/heathspurd/src/take_in.rs
+++ b/crates/heathspurd/src/take_in.rs
@@ -1,6 +1,8 @@
 //! Stage one: bytes from balancers become requests. A task for each connection; a slow one stalls itself.
 
-use crate::inbox::{Answer, Arrival, Front, News, Place, Txn};
+use crate::clock;
+use crate::crowd::Place;
+use crate::inbox::{Answer, Arrival, Front, News, Txn};
 use crate::relay;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -18,8 +20,10 @@
 /// Bytes read at once, and bytes kept of what follows an open request.
 const CHUNK: usize = 4 * 1024;
 const AHEAD: usize = 16 * 1024;
-/// A request must be whole within this from its first byte.
-const WHOLE: Duration = Duration::from_secs(10);
+/// A new connection must say something within this, and a request be whole within it from its first byte.
+const WHOLE: Duration = Duration::from_secs(2);
+/// How far ahead of our clock a request's stamp may lie, in Unix microseconds.
+const AHEAD_OF_US: u64 = 60_000_000;
 /// The longest sleep of an idle connection before it looks at the settings again.
 const LOOK: Duration = Duration::from_millis(500);
 /// Time to wait for room or descriptors before accepting again.
@@ -45,24 +49,28 @@
 
 /// Serves one connection to its end.
 pub(crate) async fn connection(stream: Async<TcpStream>, front: Rc<Front>, place: Place) {
-    let _place = place;
     if stream.get_ref().set_nodelay(true).is_err() {
         return;
     }
     let mut buffer = BytesMut::new();
     let mut reader = Reader::new(LIMITS);
     loop {
-        let message = match next(&stream, &front, &mut buffer, &mut reader).await {
-            Ok(message) => message,
-            Err(Ended::Closed) => return,
-            Err(Ended::Bad(status)) => return relay::turn_away(&stream, status).await,
+        let fresh = !place.asked();
+        let message = match place.rest(next(&stream, &front, &mut buffer, &mut reader, fresh)).await {
+            Some(Ok(message)) => message,
+            None | Some(Err(Ended::Closed)) => return,
+            Some(Err(Ended::Bad(status))) => return turn_away(&stream, &place, status).await,
         };
         let close = http::says_close(Fields::over(&buffer[message.fields.clone()]));
         let whole = buffer.split_to(message.body.end).freeze();
         let mut last = if close { Last::Yes } else { Last::No };
-        let answered = match understand(&whole, &message, &front) {
+        let asked = understand(&whole, &message, &front);
+        if !matches!(asked, Asked::Bad(_)) {
+            place.has_asked();
+        }
+        let answered = match asked {
             Asked::Health => relay::health(&stream, &front, last).await,
-            Asked::Bad(status) => return relay::turn_away(&stream, status).await,
+            Asked::Bad(status) => return turn_away(&stream, &place, status).await,
             Asked::Request(arrival, answers) => {
                 let id = arrival.id;
                 drop(whole);
@@ -91,6 +99,12 @@
     }
 }
 
+/// Answers what can't be taken; its place is free for others at once.
+async fn turn_away(stream: &Async<TcpStream>, place: &Place, status: u16) {
+    // It ends either way.
+    let _ = place.rest(relay::turn_away(stream, status)).await;
+}
+
 /// Waits for the answer while it watches the connection; none once the caller is gone.
 async fn wait(
     stream: &Async<TcpStream>,
@@ -115,6 +129,7 @@
     front: &Front,
     buffer: &mut BytesMut,
     reader: &mut Reader,
+    fresh: bool,
 ) -> Result<Message, Ended> {
     let mut since = Instant::now();
     loop {
@@ -131,6 +146,7 @@
             false if front.shutting.is_closed() => return Err(Ended::Closed),
             false => {
                 let idle = Duration::from_micros(front.idle.get().0);
+                let idle = if fresh { idle.min(WHOLE) } else { idle };
                 idle.checked_sub(since.elapsed()).ok_or(Ended::Closed)?.min(LOOK)
             }
         };
@@ -195,7 +211,8 @@
 ) -> Option<(Arrival, async_channel::Receiver<Answer>)> {
     let (mut txn, mut ingress, mut held_kb) = (None, None, None);
     let (mut key, mut row, mut tenant, mut retry) = (None, None, None, false);
-    let (mut left, mut cost) = (None, None);
+    let (mut left, mut cost, mut rank, mut router) = (None, None, None, None);
+    let latest = clock::unix() + AHEAD_OF_US;
     for field in Fields::over(&whole[message.fields.clone()]) {
         let (name, value) = field.ok()?;
         let is = |known: &str| name.eq_ignore_ascii_case(known.as_bytes());
@@ -203,19 +220,24 @@
         let again = if is("X-Txn") {
             txn.replace(Txn::read(value)?).is_some()
         } else if is("X-Ingress-Time") {
-            ingress.replace(http::number(value)?.checked_mul(1000)?).is_some()
+            let stamp = http::number(value)?.checked_mul(1000).filter(|&stamp| stamp <= latest)?;
+            ingress.replace(stamp).is_some()
         } else if is("X-Working-Set-Kb") {
             held_kb.replace(decimal(value).filter(|kb| *kb > 0.0 && *kb < 2000.0)?).is_some()
+        } else if is("X-Shed-Order") {
+            rank.replace(decimal(value).filter(|rank| *rank < 1.0)?).is_some()
+        } else if is("X-Router") {
+            router.replace(http::number(value)?).is_some()
         } else if is("X-Merchant") {
             tenant.replace(front.names.tenants.iter().position(|t| t.as_bytes() == value)?).is_some()
         } else if is("X-Second-Try") {
-            std::mem::replace(&mut retry, value == b"1")
+            std::mem::replace(&mut retry, (value == b"1").then_some(true)?)
         } else if is("X-Txn-Key") {
             key.replace(subject(whole, value)?).is_some()
         } else if is("X-Ttl-Ms") {
-            left.replace(Span::from_secs(decimal(value).filter(|ms| *ms >= 0.0)? / 1000.0)).is_some()
+            left.replace(Span::from_secs(decimal(value)? / 1000.0)).is_some()
         } else if is("X-Cpu-Hint") {
-            cost.replace(decimal(value).filter(|ms| *ms >= 0.0)? / 1000.0).is_some()
+            cost.replace(decimal(value)? / 1000.0).is_some()
         } else if is("X-Row") {
             row.replace(subject(whole, value)?).is_some()
         } else {
@@ -225,10 +247,13 @@
             return None;
         }
     }
-    let key = match front.keyed[class.0] {
-        true => Some(key?),
-        false => row.clone(),
-    };
+    let (Some(_), Some(_)) = (rank, router) else { return None };
+    let keyed = front.keyed[class.0];
+    // A key belongs to keyed classes, a subject to the others, and a tenant to all where there are tenants.
+    if keyed != key.is_some() || keyed && row.is_some() || front.names.tenants.is_empty() != tenant.is_none()
+    {
+        return None;
+    }
     let (reply, answers) = async_channel::bounded(1);
     let id = RequestId(front.next_id.get());
     front.next_id.set(id.0 + 1);
@@ -238,8 +263,8 @@
         class,
         tenant: tenant.map(TenantId),
         ingress: ingress?,
-        key,
         row: row.is_some(),
+        key: key.or(row),
         retry,
         left,
         cost,
@@ -255,9 +280,11 @@
     (1..=64).contains(&value.len()).then(|| whole.slice_ref(value))
 }
 
+/// Decimal digits with at most one point among them.
 fn decimal(text: &[u8]) -> Option<f64> {
     let text = std::str::from_utf8(text).ok()?;
-    text.parse().ok().filter(|n: &f64| n.is_finite())
+    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    text.parse().ok().filter(|n: &f64| plain && n.is_finite())
 }
 
 /// Accepts connections while there is room for them; ends when the front is shut, with the socket.
@@ -267,8 +294,12 @@
     front: Rc<Front>,
 ) {
     while !front.shutting.is_closed() {
+        front.crowd.make_room();
         let Some(place) = Place::take(&front) else {
-            Timer::after(BACK_OFF).await;
+            let pause = async {
+                Timer::after(BACK_OFF).await;
+            };
+            future::or(front.crowd.room(), pause).await;
             continue;
         };
         let shut = async {
