Follow new addresses on SIGHUP, and give each call a connection of its own

Now SIGHUP has the file read again, and interpreter, store and announce link go to the new addresses; runs, notice numbers and calls in hand stay. Each call has a connection to itself; one that brought its reply and nothing else is used again within 250 ms, and never for a call that may not be repeated. Giving a call up closes its connection. An eighth of the descriptors is kept for calls.

--- a/crates/heathspurd/src/announce.rs
+++ b/crates/heathspurd/src/announce.rs
@@ -1,6 +1,6 @@
 //! Reports to the announce service: one a second, at once on a change, again soon after a failure.
 
-use crate::link::{self, Bell, Inflow};
+use crate::link::{self, Bell, Inflow, Target};
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncWriteExt};
 use heathspur_wire::http::{self, Fields, Limits, Reader};
@@ -35,7 +35,7 @@
 }
 
 /// Reports for ever.
-pub(crate) async fn keep(address: SocketAddr, name: String, report: Rc<Report>) {
+pub(crate) async fn keep(target: Rc<Target>, name: String, report: Rc<Report>) {
     let mut connection = None;
     loop {
         let Some(accepting) = report.accepting.get() else {
@@ -43,13 +43,17 @@
             continue;
         };
         // A change does not wait for a report that is stuck: the connection goes, and a new one tells it.
+        let address = target.get();
         let changed = async {
-            report.bell.rung().await;
+            future::or(report.bell.rung(), target.moved(address)).await;
             None
         };
         let told = link::within(CALL, tell(address, &name, accepting, &mut connection));
         let wait = match future::or(async { Some(told.await) }, changed).await {
-            None => continue,
+            None => {
+                connection = None;
+                continue;
+            }
             Some(Ok(())) => PERIOD,
             Some(Err(e)) => {
                 log!("the announce service did not take a report: {e}");
@@ -59,7 +63,10 @@
         let pause = async {
             Timer::after(wait).await;
         };
-        future::or(report.bell.rung(), pause).await;
+        future::or(future::or(report.bell.rung(), pause), target.moved(address)).await;
+        if target.get() != address {
+            connection = None;
+        }
     }
 }
 
--- a/crates/heathspurd/src/book.rs
+++ b/crates/heathspurd/src/book.rs
@@ -119,7 +119,7 @@
     pub(crate) fn book_out(&mut self, id: RequestId) {
         let Some(entry) = self.table.remove(id) else { return };
         if let Work::Calling { call, until, .. } = entry.work {
-            let _ = self.store.give_up(entry.txn, call);
+            let _ = self.store.give_up(call);
             self.call_timers.remove(&(until, id));
         }
         if let Some(key) = &entry.key {
@@ -159,7 +159,7 @@
             Work::Held | Work::Paused { .. } | Work::Waiting { .. } => self.book_out(id),
             Work::Calling { since, need, call, until, .. } => {
                 entry.work = Work::AtCall { since, need };
-                let _ = self.store.give_up(entry.txn, call);
+                let _ = self.store.give_up(call);
                 self.call_timers.remove(&(until, id));
             }
             Work::Running { .. } | Work::AtCall { .. } => {}
--- a/crates/heathspurd/src/config.rs
+++ b/crates/heathspurd/src/config.rs
@@ -14,6 +14,8 @@
 /// What a server is told when it starts.
 #[derive(Clone, Debug)]
 pub struct Config {
+    /// The file that it was read from, where there is one.
+    pub file: Option<PathBuf>,
     /// Its name in the announce service.
     pub name: String,
     /// Where balancers connect.
@@ -103,7 +105,10 @@
     /// Reads a file.
     pub fn read(file: &Path) -> Result<Config, Fault> {
         let text = std::fs::read(file).map_err(|e| Fault::Unread(file.to_path_buf(), e))?;
-        Config::parse(&text).map_err(|(field, what)| Fault::Wrong { file: file.to_path_buf(), field, what })
+        match Config::parse(&text) {
+            Ok(config) => Ok(Config { file: Some(file.to_path_buf()), ..config }),
+            Err((field, what)) => Err(Fault::Wrong { file: file.to_path_buf(), field, what }),
+        }
     }
 
     /// Reads a file's text; the error is the path of a field and what is wrong there.
@@ -114,6 +119,7 @@
         json.end().map_err(|e| (".".to_string(), e.to_string()))?;
         let (settings, names) = heathspur_settings::read(file.settings);
         Ok(Config {
+            file: None,
             name: file.name,
             listen: file.listen,
             vm: file.vm,
--- a/crates/heathspurd/src/inbox.rs
+++ b/crates/heathspurd/src/inbox.rs
@@ -1,5 +1,6 @@
 //! What reaches the owner, and what all connections share with it.
 
+use crate::config::Config;
 use crate::crowd::Crowd;
 use crate::interpreter;
 use crate::store;
@@ -75,6 +76,8 @@
     Store(store::News),
     /// The notice to drain.
     Drain,
+    /// The configuration was replaced.
+    Reload(Box<Config>),
 }
 
 /// What connections see of the owner, and give it.
--- a/crates/heathspurd/src/interpreter.rs
+++ b/crates/heathspurd/src/interpreter.rs
@@ -1,14 +1,14 @@
 //! The link to the interpreter: held open, made again when it breaks, resumed at the last notice read.
 
 use crate::inbox::{self, Txn};
-use crate::link::{connect, Bell, Inflow};
+use crate::link::{connect, Bell, Inflow, Target};
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use bytes::Bytes;
 use futures_lite::{future, AsyncWriteExt};
 use heathspur_wire::interpreter::{self as wire, Command, End, Notice, Warmth};
 use std::cell::RefCell;
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -46,14 +46,19 @@
     }
 }
 
-/// Keeps the link up for ever.
-pub(crate) async fn keep(address: SocketAddr, link: Rc<Link>, news: Sender<inbox::News>) {
+/// Keeps the link up for ever, wherever the interpreter is found.
+pub(crate) async fn keep(target: Rc<Target>, link: Rc<Link>, news: Sender<inbox::News>) {
     let (mut last, mut wait) = (0, SHORTEST);
     loop {
+        let address = target.get();
         match connect(address).await {
             Ok(stream) => {
                 let before = last;
-                let ended = talk(&stream, &link, &news, &mut last).await;
+                let moved = async {
+                    target.moved(address).await;
+                    "it has moved".to_string()
+                };
+                let ended = future::or(talk(&stream, &link, &news, &mut last), moved).await;
                 link.out.borrow_mut().clear();
                 log!("the interpreter's link broke after notice {last}: {ended}");
                 if last > before {
@@ -65,7 +70,14 @@
             }
             Err(e) => log!("no link to the interpreter: {e}"),
         }
-        Timer::after(wait).await;
+        if target.get() != address {
+            wait = SHORTEST;
+            continue;
+        }
+        let pause = async {
+            Timer::after(wait).await;
+        };
+        future::or(pause, target.moved(address)).await;
         wait = (wait * 2).min(LONGEST);
     }
 }
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -43,7 +43,7 @@
     Config(config::Fault),
     /// Its address could not be bound.
     Bind(std::net::SocketAddr, io::Error),
-    /// The notice to drain can't be heard.
+    /// The notices of the operators can't be heard.
     Signals(io::Error),
 }
 
@@ -81,11 +81,12 @@
     }
 }
 
-/// Serves until the process is told to drain and all is answered.
+/// Serves until the process is told to drain and all is answered. SIGHUP has it read the configuration's file
+/// again for the addresses of its peers.
 pub fn serve(config: Config) -> Result<(), Fault> {
     let listener = TcpListener::bind(config.listen).map_err(|e| Fault::Bind(config.listen, e))?;
     let executor = Rc::new(LocalExecutor::new());
-    let notice = signals::drain().map_err(Fault::Signals)?;
+    let notice = signals::notices().map_err(Fault::Signals)?;
     async_io::block_on(executor.run(owner::serve(executor.clone(), config, listener, notice)))
         .map_err(Fault::Signals)
 }
--- a/crates/heathspurd/src/link.rs
+++ b/crates/heathspurd/src/link.rs
@@ -3,6 +3,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt};
+use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -32,6 +33,35 @@
     }
 }
 
+/// Where a peer is found; a new configuration may move it.
+pub(crate) struct Target {
+    address: Cell<SocketAddr>,
+    moved: Bell,
+}
+
+impl Target {
+    pub fn new(address: SocketAddr) -> Target {
+        Target { address: Cell::new(address), moved: Bell::new() }
+    }
+
+    pub fn get(&self) -> SocketAddr {
+        self.address.get()
+    }
+
+    pub fn set(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.moved.ring();
+        }
+    }
+
+    /// Waits until it is no longer at this address. One link waits for each target.
+    pub async fn moved(&self, from: SocketAddr) {
+        while self.address.get() == from {
+            self.moved.rung().await;
+        }
+    }
+}
+
 /// Does the work, or fails once the time is over.
 pub(crate) async fn within<T>(time: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
     let late = async {
--- a/crates/heathspurd/src/owner.rs
+++ b/crates/heathspurd/src/owner.rs
@@ -8,12 +8,13 @@
 use crate::inbox::{Answer, Arrival, Front, News};
 use crate::interpreter::{self, News as Heard};
 use crate::keys::Keys;
+use crate::link::Target;
 use crate::store::{self, News as Called};
 use crate::{announce, take_in};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use async_signal::Signals;
+use async_signal::{Signal, Signals};
 use bytes::Bytes;
 use futures_lite::{future, StreamExt};
 use heathspur::{
@@ -25,6 +26,7 @@
 use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 use std::io;
 use std::net::TcpListener;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -33,7 +35,9 @@
 const REQUESTS_AT_ONCE: usize = 64;
 const NEWS: usize = 1024;
 /// Descriptors kept for the links, the log and what the standard library opens.
-const SPARE: usize = 32;
+const SPARE: usize = 20;
+/// The part of the descriptors that calls may take.
+const CALLS_PART: usize = 8;
 /// A timer of the module waits so long for the gauges.
 const GAUGES: Span = Span(10_000);
 /// The longest wait for notices that were missed, once a link is up again.
@@ -42,6 +46,9 @@
 const KEYS: usize = 16 * 1024;
 const RESULTS_PART: usize = 4;
 const PRUNE: Span = Span(1_000_000);
+/// A configuration that can't be read is tried so often, and again after this.
+const READ_TRIES: u32 = 10;
+const READ_AGAIN: Duration = Duration::from_millis(100);
 /// The process ends by itself so long before it is killed, and its front is shut so long before that.
 const EARLY: Duration = Duration::from_millis(100);
 const LEAVE: Duration = Duration::from_millis(300);
@@ -73,6 +80,7 @@
     pub front: Rc<Front>,
     pub report: Rc<announce::Report>,
     pub interpreter: Rc<interpreter::Link>,
+    targets: Targets,
     pub link: LinkState,
     pub store: Rc<store::Link>,
     pub table: Table,
@@ -116,19 +124,18 @@
         free_value: Cell::new(None),
         leaving: Cell::new(false),
         shutting,
-        crowd: Crowd::new(config.sockets.saturating_sub(SPARE)),
+        crowd: Crowd::new(config.sockets.saturating_sub(SPARE + config.sockets / CALLS_PART)),
     });
     let interpreter = interpreter::Link::new();
-    let store = store::Link::new();
+    let store = store::Link::new(executor.clone(), config.store, config.sockets / CALLS_PART, news.clone());
+    let targets =
+        Targets { vm: Rc::new(Target::new(config.vm)), announce: Rc::new(Target::new(config.announce)) };
     let report = announce::Report::new();
     log!("listening on {}", listener.local_addr()?);
     executor.spawn(take_in::accept(executor.clone(), Async::new(listener)?, front.clone())).detach();
-    executor.spawn(interpreter::keep(config.vm, interpreter.clone(), news.clone())).detach();
-    if let Some(address) = config.store {
-        executor.spawn(store::keep(address, store.clone(), news.clone())).detach();
-    }
-    executor.spawn(announce::keep(config.announce, config.name.clone(), report.clone())).detach();
-    executor.spawn(hear(notice, news)).detach();
+    executor.spawn(interpreter::keep(targets.vm.clone(), interpreter.clone(), news.clone())).detach();
+    executor.spawn(announce::keep(targets.announce.clone(), config.name.clone(), report.clone())).detach();
+    executor.spawn(hear(notice, config.file, news)).detach();
     let clock = Clock::start();
     let late = config.settings.classes.iter().map(|c| c.give_up).max().unwrap_or_default();
     let owner = Owner {
@@ -136,6 +143,7 @@
         front,
         report,
         interpreter,
+        targets,
         link: LinkState::Down,
         store,
         table: Table::default(),
@@ -159,15 +167,42 @@
     Ok(())
 }
 
-/// Hears the notice to drain.
-async fn hear(mut notice: Signals, news: Sender<News>) {
-    while let Some(Ok(_)) = notice.next().await {
-        if news.send(News::Drain).await.is_err() {
+/// Where the peers that are called once in a while are found.
+struct Targets {
+    vm: Rc<Target>,
+    announce: Rc<Target>,
+}
+
+/// Hears the notices to drain and to read the configuration again.
+async fn hear(mut notice: Signals, file: Option<PathBuf>, news: Sender<News>) {
+    while let Some(Ok(signal)) = notice.next().await {
+        let item = match (signal, &file) {
+            (Signal::Hup, Some(file)) => match read_again(file).await {
+                Some(config) => News::Reload(Box::new(config)),
+                None => continue,
+            },
+            (Signal::Hup, None) => continue,
+            _ => News::Drain,
+        };
+        if news.send(item).await.is_err() {
             return;
         }
     }
 }
 
+/// The configuration's file as it is now. One that is being written yet is tried again for a while; one that
+/// stays wrong changes nothing.
+async fn read_again(file: &Path) -> Option<Config> {
+    for _ in 0..READ_TRIES {
+        match Config::read(file) {
+            Ok(config) => return Some(config),
+            Err(fault) => log!("the configuration stays as it was: {fault}"),
+        }
+        Timer::after(READ_AGAIN).await;
+    }
+    None
+}
+
 /// What wakes the owner.
 enum Woken {
     Request(Arrival),
@@ -284,9 +319,18 @@
             News::Interpreter(heard) => self.hear(heard),
             News::Store(called) => self.called(called),
             News::Drain => self.leave(),
+            News::Reload(config) => self.move_to(&config),
         }
     }
 
+    /// The peers are found elsewhere from now on. What else the file says holds from the next start.
+    fn move_to(&mut self, config: &Config) {
+        log!("peers at {}, {} and {:?}", config.vm, config.announce, config.store);
+        self.targets.vm.set(config.vm);
+        self.targets.announce.set(config.announce);
+        self.store.set(config.store);
+    }
+
     /// What is due by the clock.
     fn take_time(&mut self) {
         while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= self.now) {
@@ -306,7 +350,7 @@
             let Some((_, id)) = self.call_timers.pop_first() else { break };
             let Some(entry) = self.table.get(id) else { continue };
             if let Work::Calling { call, .. } = entry.work {
-                let outcome = self.store.give_up(entry.txn, call);
+                let outcome = self.store.give_up(call);
                 self.call_ended(id, outcome);
             }
         }
@@ -316,6 +360,7 @@
         if self.prune_at <= self.now {
             self.prune_at = self.now + PRUNE;
             self.keys.prune(clock::unix());
+            self.store.prune();
         }
     }
 
--- a/crates/heathspurd/src/send.rs
+++ b/crates/heathspurd/src/send.rs
@@ -2,8 +2,8 @@
 
 use crate::book::{Halting, Need, Told, Work};
 use crate::owner::Owner;
-use crate::store::CallId;
-use heathspur::{RequestId, Span};
+use crate::store::{Call, CallId};
+use heathspur::{Effect, RequestId, Span};
 use heathspur_wire::interpreter::Command;
 
 /// Time past its limit at which a call that nothing was heard of is given up here: the store tells first.
@@ -43,7 +43,9 @@
         let call = CallId(self.next_call);
         self.next_call += 1;
         let until = self.now + limit + BACKSTOP;
-        self.store.call(id, call, entry.txn, (limit.0 / 1000).max(1), need.body.clone());
+        let fresh = self.settings.classes[entry.class.0].effect != Effect::Safe;
+        let (txn, limit_ms, body) = (entry.txn, (limit.0 / 1000).max(1), need.body.clone());
+        self.store.call(Call { id, call, txn, limit_ms, body, fresh });
         self.call_timers.insert((until, id));
         entry.work = Work::Calling { since, need, call, made: self.now, until };
     }
