Ask for less absence with what is refused beyond a share, by the number of servers

Ruled out by a trace of each request: refusals within the share (one in fifty), late answers (one in a hundred), the time from the stamp to the read (10 ms). The rest never came: nearly all refusals were of traffic beyond a share, give_up in decide.rs sent half a second or more of X-Throttle-Ms with each, and with two servers in the tier a balancer that heeds it keeps all its traffic to itself. Now such a refusal asks for a hundredth of the longest advice for each server of the tier.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -39,6 +39,8 @@
 const QUEUE_PART: f64 = 0.1;
 /// Part of the longest advice to stay away that a refusal for want of room carries.
 const ADVICE_PART: f64 = 0.5;
+/// The same a server for what is beyond a share: with few others to go to, what is within would stay away.
+const ADVICE_OVER: f64 = 0.01;
 /// Run times that must be left for a try elsewhere to be of use.
 const ELSEWHERE: f64 = 2.0;
 /// The most that one request may be reckoned larger or smaller than its class's mean, by its hint.
@@ -693,7 +695,9 @@
         if safe && !waits_below || !req.ran && !group_ran && req.phase != Phase::Attached {
             let away = self.stalled || self.drain.is_some();
             // A refusal is fast: callers that pick the fastest would send more. Hurts where all are full.
-            let part = if away { 1.0 } else { ADVICE_PART.max(self.turned.value) };
+            let full = ADVICE_PART.max(self.turned.value);
+            let parts = [full, full.min(ADVICE_OVER * self.set.servers as f64)];
+            let part = if away { 1.0 } else { parts[req.line % 2] };
             let stay_away = self.set.advice.map(|most| Span::from_secs(most.secs() * part));
             // Elsewhere is worth a try with enough time left, certain only where patience is told.
             let left = (req.aim - self.now).secs();
--- a/crates/heathspur/tests/path.rs
+++ b/crates/heathspur/tests/path.rs
@@ -329,3 +329,24 @@
     b.pass(ms(1950));
     assert_eq!(b.refused(), [9]);
 }
+
+#[test]
+fn what_is_refused_beyond_a_share_does_not_keep_its_caller_away_from_few_servers() {
+    let mut set = settings();
+    set.tenants = vec![Tenant { quota_per_s: 0.0 }, Tenant { quota_per_s: 1e6 }];
+    let (few, many) = (2, 1000);
+    let asked = |servers, tenant| {
+        let mut b = Bench::new(Settings { servers, ..set.clone() });
+        for id in 1..40 {
+            b.arrive(Request { tenant: Some(TenantId(tenant)), ..request(id, 0) }, id);
+        }
+        b.pass(ms(600));
+        let advice = |a: &Action| match a {
+            Action::Refuse { stay_away, .. } => *stay_away,
+            _ => None,
+        };
+        b.all.iter().rev().find_map(advice).expect("a refusal with advice")
+    };
+    assert!(asked(few, 0) > ms(0) && asked(few, 0) < ms(100), "{:?}", asked(few, 0));
+    assert!(asked(few, 1) >= ms(500) && asked(many, 0) >= ms(500));
+}
