--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -51,7 +51,6 @@
 /// Seconds of its quota that a tenant may send at once, and requests that chance may add to them.
 const QUOTA_BURST: f64 = 2.0;
 const QUOTA_CHANCE: f64 = 4.0;
-const NEAR_SHARE: f64 = 1.4;
 /// Parts of our part of a shared dependency: that we use at most, and from which calls in hand grow.
 const PART_USED: f64 = 0.9;
 const PART_LEAST: f64 = 0.33;
@@ -168,7 +167,6 @@
     tokens: f64,
     arrivals: f64,
     rate: f64,
-    allowed: f64,
 }
 
 /// The decisions of one server, from its start to its end.
@@ -233,7 +231,7 @@
         order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
         let share = |t: &Tenant| {
             let rate = t.quota_per_s / servers;
-            TenantShare { tokens: rate * QUOTA_BURST + QUOTA_CHANCE, arrivals: 0.0, rate, allowed: rate }
+            TenantShare { tokens: rate * QUOTA_BURST + QUOTA_CHANCE, arrivals: 0.0, rate }
         };
         Server {
             random: seed,
@@ -358,10 +356,9 @@
     /// standing that their tenant has now.
     fn within_share(&mut self, tenant: usize, retry: bool) -> bool {
         let Some(t) = self.tenants.get_mut(tenant) else { return true };
-        let (near, spent) = (t.rate <= NEAR_SHARE * t.allowed, f64::from(u8::from(!retry)));
-        let within = near || t.tokens >= 1.0;
+        let (within, spent) = (t.tokens >= 1.0, f64::from(u8::from(!retry)));
         t.arrivals += spent;
-        t.tokens -= if within { spent.min(t.tokens) } else { 0.0 };
+        t.tokens -= if within { spent } else { 0.0 };
         within
     }
 
@@ -895,7 +892,6 @@
         let part = parts[(parts.len() - 1) / 2].max(1.0 / self.set.servers.max(1) as f64);
         for (t, quota) in self.tenants.iter_mut().zip(&self.set.tenants) {
             let rate = quota.quota_per_s * part;
-            t.allowed = rate;
             t.tokens = (t.tokens + rate * passed).min(rate * QUOTA_BURST + QUOTA_CHANCE);
         }
     }
