Hear signals before listening, and say when a new configuration differs in more than peers

Read beside the issue: a file that also changes limits or settings moved the links without a word, and between the bind and the signal handlers SIGHUP would have ended the process (lib.rs).

--- a/crates/heathspurd/src/config.rs
+++ b/crates/heathspurd/src/config.rs
@@ -102,6 +102,12 @@
 }
 
 impl Config {
+    /// Whether another one differs in more than where the peers are and the seed, which is new with each start.
+    pub fn differs(&self, other: &Config) -> bool {
+        let fixed = |c: &Config| (c.name.clone(), c.listen, c.stop, c.memory, c.sockets);
+        fixed(self) != fixed(other) || self.settings != other.settings
+    }
+
     /// Reads a file.
     pub fn read(file: &Path) -> Result<Config, Fault> {
         let text = std::fs::read(file).map_err(|e| Fault::Unread(file.to_path_buf(), e))?;
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -84,9 +84,10 @@
 /// Serves until the process is told to drain and all is answered. SIGHUP has it read the configuration's file
 /// again for the addresses of its peers.
 pub fn serve(config: Config) -> Result<(), Fault> {
+    // Signals first: from the moment that others can connect, none of them ends the process by itself.
+    let notice = signals::notices().map_err(Fault::Signals)?;
     let listener = TcpListener::bind(config.listen).map_err(|e| Fault::Bind(config.listen, e))?;
     let executor = Rc::new(LocalExecutor::new());
-    let notice = signals::notices().map_err(Fault::Signals)?;
     async_io::block_on(executor.run(owner::serve(executor.clone(), config, listener, notice)))
         .map_err(Fault::Signals)
 }
--- a/crates/heathspurd/src/owner.rs
+++ b/crates/heathspurd/src/owner.rs
@@ -26,7 +26,7 @@
 use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 use std::io;
 use std::net::TcpListener;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -135,7 +135,7 @@
     executor.spawn(take_in::accept(executor.clone(), Async::new(listener)?, front.clone())).detach();
     executor.spawn(interpreter::keep(targets.vm.clone(), interpreter.clone(), news.clone())).detach();
     executor.spawn(announce::keep(targets.announce.clone(), config.name.clone(), report.clone())).detach();
-    executor.spawn(hear(notice, config.file, news)).detach();
+    executor.spawn(hear(notice, config.clone(), news)).detach();
     let clock = Clock::start();
     let late = config.settings.classes.iter().map(|c| c.give_up).max().unwrap_or_default();
     let owner = Owner {
@@ -174,11 +174,16 @@
 }
 
 /// Hears the notices to drain and to read the configuration again.
-async fn hear(mut notice: Signals, file: Option<PathBuf>, news: Sender<News>) {
+async fn hear(mut notice: Signals, started: Config, news: Sender<News>) {
     while let Some(Ok(signal)) = notice.next().await {
-        let item = match (signal, &file) {
+        let item = match (signal, &started.file) {
             (Signal::Hup, Some(file)) => match read_again(file).await {
-                Some(config) => News::Reload(Box::new(config)),
+                Some(config) => {
+                    if started.differs(&config) {
+                        log!("only the peers' addresses are taken from the new configuration; it differs in more");
+                    }
+                    News::Reload(Box::new(config))
+                }
                 None => continue,
             },
             (Signal::Hup, None) => continue,
--- a/crates/heathspurd/tests/server.rs
+++ b/crates/heathspurd/tests/server.rs
@@ -356,6 +356,19 @@
     assert_eq!(Store::accept(&rig).call().0, task(4));
 }
 
+#[test]
+fn a_new_configuration_that_differs_in_more_than_peers_moves_the_links_and_says_so() {
+    let mut rig = Rig::start();
+    let _old = rig.link();
+    rig.config["limits"]["sockets"] = json!(512);
+    let _reports = rig.move_peers();
+    rig.logs("it differs in more");
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    client.send(&request(1, None, b"abc"));
+    assert_eq!(vm.apply().0, task(1));
+}
+
 #[test]
 fn a_configuration_that_turned_bad_changes_nothing() {
     let mut rig = Rig::start();
