Give the daemon a command line, an operator's file with a schema, and logs on tracing

Need: later subsystems are switched on by the operator, not by the platform, and their faults are looked for in logs.

heathspur-operator reads XML with quick-xml and serde; each mistake names file, line, element and what was expected; reader and XSD are held against the same 31 examples with a pure Rust validator. Log lines are events of tracing with fields, plain or JSON; the bound on lines a second stays and what is left out is counted by its place.

Found on the way: the first example file held two hyphens in a comment, which quick-xml takes unless asked; comments are checked now.

--- /dev/null
+++ b/crates/heathspur-operator/tests/read.rs
@@ -0,0 +1,159 @@
+//! The reader and the schema against the same examples, and what errors name.
+
+use heathspur_operator::units::{Size, Span};
+use heathspur_operator::{Contents, Format, Operator, SCHEMA};
+use std::path::Path;
+use std::time::Duration;
+
+fn read(text: &str) -> Result<Operator, String> {
+    Operator::parse(text, Path::new("o.xml"), None).map_err(|fault| fault.to_string())
+}
+
+fn schema_takes(text: &str) -> bool {
+    let schema = uppsala::parse(SCHEMA).expect("the schema is XML");
+    let schema = uppsala::XsdValidator::from_schema(&schema).expect("the schema is one");
+    uppsala::parse(text).is_ok_and(|document| schema.validate(&document).is_empty())
+}
+
+fn file(inner: &str) -> String {
+    format!("<?xml version=\"1.0\"?>\n<operator xmlns=\"urn:heathspur:operator:1\">\n{inner}\n</operator>\n")
+}
+
+const VALID: [&str; 9] = [
+    "",
+    "<!-- nothing -->",
+    "<log/>",
+    "<log format=\"json\" level=\"debug\" lines-per-second=\"10000\"/>",
+    "<record directory=\"/x\"/>",
+    "<record directory=\"/x\" contents=\"full\" links=\"true\"/><log/>",
+    "<record directory=\"a b\" links=\"0\"><files size=\"64KiB\" age=\"1 s\" keep=\"1\"/></record>",
+    "<record directory=\"/x\"><budget memory=\"1 GiB\"/><mask header=\"X-Txn-Key\"/><mask header=\"a.b~\"/></record>",
+    "<log></log>\n<record directory=\"&lt;\"><files/><budget/></record>",
+];
+
+/// What, and the line and words that the error must have.
+const INVALID: [(&str, &str); 22] = [
+    ("<lgo/>", "o.xml:3: lgo: unknown element"),
+    ("<log/><log/>", "o.xml:3: log: duplicate"),
+    ("\n<log\n  colour=\"red\"/>", "o.xml:5: log@colour: unknown element or attribute `colour`"),
+    ("<log format=\"xml\"/>", "o.xml:3: log@format: unknown variant `xml`, expected `plain` or `json`"),
+    ("<log level=\"Info\"/>", "o.xml:3: log@level"),
+    ("<log lines-per-second=\"0\"/>", "o.xml:3: log@lines-per-second: 1 to 10000"),
+    ("<log lines-per-second=\"10001\"/>", "o.xml:3: log@lines-per-second: 1 to 10000"),
+    ("<log lines-per-second=\"many\"/>", "o.xml:3: log@lines-per-second"),
+    ("<log>words</log>", "o.xml:3: log: unknown text"),
+    ("<record/>", "o.xml:3: record: missing field `directory`"),
+    ("<record directory=\"\"/>", "o.xml:3: record@directory: a folder"),
+    ("<record directory=\"/x\" contents=\"some\"/>", "o.xml:3: record@contents"),
+    ("<record directory=\"/x\" links=\"yes\"/>", "o.xml:3: record@links"),
+    (
+        "<record directory=\"/x\">\n<files size=\"64\"/></record>",
+        "o.xml:4: files@size: `64` where a size such as",
+    ),
+    ("<record directory=\"/x\"><files size=\"64  KiB\"/></record>", "o.xml:3: files@size"),
+    ("<record directory=\"/x\"><files size=\"64 kb\"/></record>", "o.xml:3: files@size"),
+    ("<record directory=\"/x\"><files\n age=\"soon\"/></record>", "o.xml:4: files@age: `soon` where a time"),
+    ("<record directory=\"/x\"><files keep=\"-1\"/></record>", "o.xml:3: files@keep"),
+    ("<record directory=\"/x\"><mask/></record>", "o.xml:3: mask: missing field `header`"),
+    (
+        "<record directory=\"/x\"><mask header=\"a\"/>\n<mask header=\"a b\"/></record>",
+        "o.xml:4: mask@header",
+    ),
+    ("<record directory=\"/x\"><mask header=\"a\">x</mask></record>", "o.xml:3: mask: unknown text"),
+    ("<record directory=\"/x\">\n<files><more/></files></record>", "o.xml:4: more: unknown element"),
+];
+
+/// Wrong in a way that a schema can't tell, or that is a matter of bounds on values with units.
+const OUT_OF_BOUNDS: [(&str, &str); 5] = [
+    (
+        "<record directory=\"/x\"><files size=\"63 KiB\"/></record>",
+        "o.xml:3: files@size: 63 KiB where 64 KiB",
+    ),
+    ("<record directory=\"/x\"><files size=\"17 GiB\"/></record>", "files@size: 17 GiB"),
+    ("<record directory=\"/x\"><files age=\"999 ms\"/></record>", "files@age: 1 s to 24 h"),
+    ("<record directory=\"/x\"><files age=\"25 h\"/></record>", "files@age: 1 s to 24 h"),
+    ("<record directory=\"/x\"><budget memory=\"1 KiB\"/></record>", "o.xml:3: budget@memory: 1 KiB where"),
+];
+
+#[test]
+fn reader_and_schema_take_the_same() {
+    for inner in VALID {
+        let text = file(inner);
+        assert!(read(&text).is_ok(), "{inner}: {:?}", read(&text));
+        assert!(schema_takes(&text), "{inner}");
+    }
+    for (inner, _) in INVALID {
+        let text = file(inner);
+        assert!(read(&text).is_err(), "{inner}");
+        assert!(!schema_takes(&text), "{inner}");
+    }
+}
+
+#[test]
+fn every_mistake_names_file_line_element_and_what_was_expected() {
+    for (inner, words) in INVALID.iter().chain(&OUT_OF_BOUNDS) {
+        let said = read(&file(inner)).expect_err(inner);
+        assert!(said.contains(words), "{inner}\n  says   {said}\n  wanted {words}");
+    }
+}
+
+#[test]
+fn what_is_no_such_document_is_refused_with_its_line() {
+    for (text, words) in [
+        ("", "o.xml:1: operator: one element"),
+        ("<config/>", "o.xml:1: config: one element `operator`"),
+        ("<operator/>", "o.xml:1: operator: the namespace `` where"),
+        ("<operator xmlns=\"urn:other\"/>", "o.xml:1: operator: the namespace `urn:other`"),
+        ("<operator xmlns=\"urn:heathspur:operator:1\">\n<log>\n", "o.xml:3: log: `</log>` is expected"),
+        ("<operator xmlns=\"urn:heathspur:operator:1\">\n<log></record></operator>", "o.xml:2"),
+        (
+            "<operator xmlns=\"urn:heathspur:operator:1\">\n<!-- a -- b -->\n</operator>",
+            "o.xml:2: operator: ",
+        ),
+        ("<!DOCTYPE operator [<!ENTITY a \"b\">]>\n<operator/>", "o.xml:1: operator: no document type"),
+    ] {
+        let said = read(text).expect_err(text);
+        assert!(said.contains(words), "{text}\n  says   {said}\n  wanted {words}");
+    }
+    let deep = file(&["<a>"; 100].concat());
+    assert!(read(&deep).unwrap_err().contains("too deep"));
+}
+
+#[test]
+fn the_commented_example_is_valid_and_switches_nothing_on() {
+    let text = include_str!("../../../deploy/operator.xml");
+    let operator = read(text).unwrap();
+    assert_eq!(operator.record, None);
+    assert_eq!(operator.log, Default::default());
+    assert!(schema_takes(text));
+    // What stands in its comments is valid as well, and has the defaults that the schema tells.
+    let shown = text.split("<!--").find(|part| part.contains("<record")).unwrap();
+    let record = &shown[shown.find("<record").unwrap()..shown.find("</record>").unwrap() + 9];
+    let text = file(record);
+    assert!(schema_takes(&text));
+    let record = read(&text).unwrap().record.unwrap();
+    assert_eq!((record.files, record.budget), Default::default());
+    assert_eq!((record.contents, record.links, record.mask.len()), (Contents::Headers, false, 1));
+}
+
+#[test]
+fn values_come_with_their_units() {
+    let text = file(
+        "<log format=\"json\"/><record directory=\"/x\"><files size=\"3 MiB\" age=\"2min\"/><budget memory=\"70000 B\"/></record>",
+    );
+    let operator = read(&text).unwrap();
+    let record = operator.record.unwrap();
+    assert_eq!(operator.log.format, Format::Json);
+    assert_eq!(record.files.size, Size(3 << 20));
+    assert_eq!(record.files.age, Span(Duration::from_secs(120)));
+    assert_eq!(record.budget.memory, Size(70_000));
+}
+
+#[test]
+fn the_budget_is_held_against_the_memory_of_the_process() {
+    let text = file("<record directory=\"/x\">\n<budget memory=\"9 MiB\"/></record>");
+    let parse = |memory| Operator::parse(&text, Path::new("o.xml"), Some(memory)).map_err(|e| e.to_string());
+    assert!(parse(36 << 20).is_ok());
+    let said = parse(32 << 20).unwrap_err();
+    assert!(said.contains("o.xml:4: budget@memory: 9 MiB where 8 MiB at most"), "{said}");
+}
--- a/crates/heathspurd/src/admit.rs
+++ b/crates/heathspurd/src/admit.rs
@@ -5,6 +5,7 @@
 use crate::keys::{Barred, Key, Try};
 use crate::owner::Owner;
 use heathspur::{Effect, Event, Request, Span};
+use tracing::warn;
 
 impl Owner {
     pub(crate) fn admit(&mut self, arrival: Arrival) {
@@ -28,12 +29,12 @@
             Some(Ok(repeats)) => repeats,
             Some(Err(Barred::Full)) => {
                 // A repeat could not be told any more, so it must not run here.
-                log!("a request was turned away: the table of keys is full");
+                warn!(id = arrival.id.0, "a request was turned away: the table of keys is full");
                 let _ = arrival.reply.try_send(Answer::Refused { stay_away: None, last: false });
                 return;
             }
             Some(Err(Barred::OtherBody)) => {
-                log!("a request was turned away: its key came with another body before");
+                warn!(id = arrival.id.0, "a request was turned away: its key came with another body before");
                 let _ = arrival.reply.try_send(Answer::KeyReused);
                 return;
             }
--- a/crates/heathspurd/src/announce.rs
+++ b/crates/heathspurd/src/announce.rs
@@ -9,6 +9,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
+use tracing::warn;
 
 /// Time between reports, for one call, and after a failed one.
 const PERIOD: Duration = Duration::from_millis(800);
@@ -56,7 +57,7 @@
             }
             Some(Ok(())) => PERIOD,
             Some(Err(e)) => {
-                log!("the announce service did not take a report: {e}");
+                warn!(error = %e, "the announce service did not take a report: {e}");
                 AGAIN
             }
         };
--- a/crates/heathspurd/src/interpreter.rs
+++ b/crates/heathspurd/src/interpreter.rs
@@ -11,6 +11,7 @@
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
+use tracing::warn;
 
 /// Waits before the link is made again.
 const SHORTEST: Duration = Duration::from_millis(10);
@@ -60,7 +61,7 @@
                 };
                 let ended = future::or(talk(&stream, &link, &news, &mut last), moved).await;
                 link.out.borrow_mut().clear();
-                log!("the interpreter's link broke after notice {last}: {ended}");
+                warn!(last, cause = %ended, "the interpreter's link broke after notice {last}: {ended}");
                 if last > before {
                     wait = SHORTEST;
                 }
@@ -68,7 +69,7 @@
                     return;
                 }
             }
-            Err(e) => log!("no link to the interpreter: {e}"),
+            Err(e) => warn!(error = %e, "no link to the interpreter: {e}"),
         }
         if target.get() != address {
             wait = SHORTEST;
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -5,9 +5,7 @@
 //! owns the module and all requests; connections and links only carry bytes to it and from it.
 #![forbid(unsafe_code)]
 
-#[macro_use]
-mod log;
-
+pub mod cli;
 pub mod config;
 
 mod admit;
@@ -19,6 +17,7 @@
 mod interpreter;
 mod keys;
 mod link;
+mod log;
 mod owner;
 mod relay;
 mod route;
@@ -29,10 +28,10 @@
 
 use async_executor::LocalExecutor;
 use config::Config;
+use heathspur_operator::Operator;
 use std::fmt;
 use std::io;
 use std::net::TcpListener;
-use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 
@@ -41,6 +40,8 @@
 pub enum Fault {
     /// Its configuration can't be used.
     Config(config::Fault),
+    /// The operator's file can't be used.
+    Operator(heathspur_operator::Fault),
     /// Its address could not be bound.
     Bind(std::net::SocketAddr, io::Error),
     /// The notices of the operators can't be heard.
@@ -51,7 +52,7 @@
     /// The exit code that says so.
     pub fn code(&self) -> u8 {
         match self {
-            Fault::Config(_) => 2,
+            Fault::Config(_) | Fault::Operator(_) => 2,
             Fault::Bind(..) | Fault::Signals(_) => 1,
         }
     }
@@ -61,6 +62,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Fault::Config(fault) => fault.fmt(f),
+            Fault::Operator(fault) => fault.fmt(f),
             Fault::Bind(address, e) => write!(f, "cannot listen on {address}: {e}"),
             Fault::Signals(e) => write!(f, "cannot hear signals: {e}"),
         }
@@ -69,21 +71,18 @@
 
 impl std::error::Error for Fault {}
 
-/// The whole program: reads the configuration that `NODE_CONFIG` names and serves until it is drained.
+/// The whole program, with its command line. Without arguments it reads the configuration that `NODE_CONFIG`
+/// names and serves until it is drained.
 pub fn main() -> ExitCode {
-    let served = config::path().and_then(|path| Config::read(Path::new(&path))).map_err(Fault::Config);
-    match served.and_then(serve) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            eprintln!("heathspurd: {fault}");
-            ExitCode::from(fault.code())
-        }
-    }
+    cli::main()
 }
 
 /// Serves until the process is told to drain and all is answered. SIGHUP has it read the configuration's file
 /// again for the addresses of its peers.
-pub fn serve(config: Config) -> Result<(), Fault> {
+///
+/// Its log are events of `tracing`; who embeds it brings the subscriber.
+pub fn serve(config: Config, operator: Operator) -> Result<(), Fault> {
+    let _ = &operator;
     // Signals first: from the moment that others can connect, none of them ends the process by itself.
     let notice = signals::notices().map_err(Fault::Signals)?;
     let listener = TcpListener::bind(config.listen).map_err(|e| Fault::Bind(config.listen, e))?;
--- a/crates/heathspurd/src/owner.rs
+++ b/crates/heathspurd/src/owner.rs
@@ -29,6 +29,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
+use tracing::{info, warn};
 
 /// Requests, and news of other kinds, that may wait to be taken in, and are taken in at once.
 const REQUESTS: usize = 256;
@@ -131,7 +132,8 @@
     let targets =
         Targets { vm: Rc::new(Target::new(config.vm)), announce: Rc::new(Target::new(config.announce)) };
     let report = announce::Report::new();
-    log!("listening on {}", listener.local_addr()?);
+    let address = listener.local_addr()?;
+    info!(%address, "listening on {address}");
     executor.spawn(take_in::accept(executor.clone(), Async::new(listener)?, front.clone())).detach();
     executor.spawn(interpreter::keep(targets.vm.clone(), interpreter.clone(), news.clone())).detach();
     executor.spawn(announce::keep(targets.announce.clone(), config.name.clone(), report.clone())).detach();
@@ -180,7 +182,7 @@
             (Signal::Hup, Some(file)) => match read_again(file).await {
                 Some(config) => {
                     if started.differs(&config) {
-                        log!("only the peers' addresses are taken from the new configuration; it differs in more");
+                        warn!("only the peers' addresses are taken from the new configuration; it differs in more");
                     }
                     News::Reload(Box::new(config))
                 }
@@ -201,7 +203,7 @@
     for _ in 0..READ_TRIES {
         match Config::read(file) {
             Ok(config) => return Some(config),
-            Err(fault) => log!("the configuration stays as it was: {fault}"),
+            Err(fault) => warn!(%fault, "the configuration stays as it was: {fault}"),
         }
         Timer::after(READ_AGAIN).await;
     }
@@ -330,7 +332,7 @@
 
     /// The peers are found elsewhere from now on. What else the file says holds from the next start.
     fn move_to(&mut self, config: &Config) {
-        log!("peers at {}, {} and {:?}", config.vm, config.announce, config.store);
+        info!("peers at {}, {} and {:?}", config.vm, config.announce, config.store);
         self.targets.vm.set(config.vm);
         self.targets.announce.set(config.announce);
         self.store.set(config.store);
@@ -422,7 +424,7 @@
                 if let (Some(id), true, "APPLY") = (id, started, &*command) {
                     self.run_ended(id, End::Error, Bytes::new());
                 }
-                log!("the interpreter did not carry out {command:?}");
+                warn!(command, "the interpreter did not carry out {command:?}");
             }
         }
     }
--- a/crates/heathspurd/src/route.rs
+++ b/crates/heathspurd/src/route.rs
@@ -7,6 +7,7 @@
 use crate::owner::Owner;
 use heathspur::{Action, RequestId, Span};
 use std::cmp::Reverse;
+use tracing::info;
 
 impl Owner {
     pub(crate) fn route(&mut self, action: Action) {
@@ -42,7 +43,7 @@
             Action::Timer { after, token } => {
                 self.timers.push(Reverse((self.now + after, token)));
             }
-            Action::Log(text) => log!("{text}"),
+            Action::Log(text) => info!("{text}"),
         }
     }
 
--- a/crates/heathspurd/src/store.rs
+++ b/crates/heathspurd/src/store.rs
@@ -16,6 +16,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tracing::warn;
 
 /// A connection is used again within this: the other side may close or forget one that stands idle.
 const REUSE: Duration = Duration::from_millis(250);
@@ -149,7 +150,7 @@
         let mut line = match self.line(call, address).await {
             Ok(line) => line,
             Err(e) => {
-                log!("no connection to the store: {e}");
+                warn!(error = %e, "no connection to the store: {e}");
                 return never;
             }
         };
@@ -163,7 +164,7 @@
                 (outcome, body)
             }
             Err(why) => {
-                log!("the store's connection broke under a call: {why}");
+                warn!(cause = %why, "the store's connection broke under a call: {why}");
                 (Outcome::Reset, Bytes::new())
             }
         }
--- a/crates/heathspurd/src/take_in.rs
+++ b/crates/heathspurd/src/take_in.rs
@@ -14,6 +14,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tracing::error;
 
 /// Bounds on a request.
 const LIMITS: http::Limits = http::Limits { head: 8 * 1024, body: 2 * 1024 };
@@ -310,7 +311,7 @@
             None => {}
             Some(Ok((stream, _))) => executor.spawn(connection(stream, front.clone(), place)).detach(),
             Some(Err(e)) => {
-                log!("cannot accept a connection: {e}");
+                error!(error = %e, "cannot accept a connection: {e}");
                 drop(place);
                 Timer::after(BACK_OFF).await;
             }
