Add heathspurctl: captures summed up, listed, cut and replayed; rig as a crate

Need: operators want a Friday replayed with its own timing, and later subsystems want stand-ins that are written once.

heathspurctl: pcap info, requests, cut and replay (report as JSON, a line for each request, and charts), config check against reader and schema, completions and manual page from clap's crates; exit codes documented. The replay's owner carries out what heathspur-replay decides; a connection is one task.

heathspur-rig: the stand-ins of the tests and of the toy moved out, captures made up, a server that keeps what it is sent, a proxy that splits, delays, cuts and silences. Integration tests find the daemon beside themselves, so other packages can start it.

--- a/crates/heathspur-capture/src/file.rs
+++ b/crates/heathspur-capture/src/file.rs
@@ -48,6 +48,18 @@
             other => Link::Other(other),
         }
     }
+
+    /// A number that files carry for it.
+    pub fn number(self) -> i32 {
+        match self {
+            Link::Ethernet => 1,
+            Link::Ip => 101,
+            Link::Loopback => 0,
+            Link::Cooked => 113,
+            Link::Cooked2 => 276,
+            Link::Other(number) => number,
+        }
+    }
 }
 
 /// One packet as it stands in the file.
--- a/crates/heathspur-capture/src/write.rs
+++ b/crates/heathspur-capture/src/write.rs
@@ -42,8 +42,8 @@
     record.to_vec_raw().unwrap_or_default()
 }
 
-/// The start of a pcapng file: the section and its interfaces, by name, all with raw IP and nanoseconds.
-pub fn ng_start(interfaces: &[&str]) -> Vec<u8> {
+/// The start of a pcapng file, before its interfaces.
+pub fn ng_section() -> Vec<u8> {
     let mut section = SectionHeaderBlock {
         block_type: 0,
         block_len1: 0,
@@ -54,22 +54,29 @@
         options: Vec::new(),
         block_len2: 0,
     };
-    let mut out = section.to_vec().unwrap_or_default();
-    for name in interfaces {
-        let mut interface = InterfaceDescriptionBlock {
-            block_type: 0,
-            block_len1: 0,
-            linktype: Linktype(RAW_IP),
-            reserved: 0,
-            snaplen: 0,
-            options: vec![option(OptionCode::IfName, name.as_bytes()), option(OptionCode::IfTsresol, &[9])],
-            block_len2: 0,
-            if_tsresol: 9,
-            if_tsoffset: 0,
-        };
-        out.extend(interface.to_vec().unwrap_or_default());
-    }
-    out
+    section.to_vec().unwrap_or_default()
+}
+
+/// An interface of a pcapng file, with time stamps in nanoseconds. Packets name it by its place.
+pub fn ng_interface(link: i32, name: &str) -> Vec<u8> {
+    let mut interface = InterfaceDescriptionBlock {
+        block_type: 0,
+        block_len1: 0,
+        linktype: Linktype(link),
+        reserved: 0,
+        snaplen: 0,
+        options: vec![option(OptionCode::IfName, name.as_bytes()), option(OptionCode::IfTsresol, &[9])],
+        block_len2: 0,
+        if_tsresol: 9,
+        if_tsoffset: 0,
+    };
+    interface.to_vec().unwrap_or_default()
+}
+
+/// The start of a pcapng file: the section and its interfaces, by name, all with raw IP.
+pub fn ng_start(interfaces: &[&str]) -> Vec<u8> {
+    let described = interfaces.iter().flat_map(|name| ng_interface(RAW_IP, name));
+    ng_section().into_iter().chain(described).collect()
 }
 
 /// A packet of a pcapng file. A comment stands with it where there is one.
--- a/crates/heathspur-capture/tests/any.rs
+++ b/crates/heathspur-capture/tests/any.rs
@@ -1,9 +1,8 @@
 //! Any bytes and any disorder: nothing panics, bounds hold, and what is whole comes out as it went in.
 
-mod common;
-use common::*;
 use heathspur_capture::reassembly::Limits;
 use heathspur_capture::{exchange, Options, Side};
+use heathspur_rig::capture::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- a/crates/heathspur-capture/tests/file.rs
+++ b/crates/heathspur-capture/tests/file.rs
@@ -1,9 +1,8 @@
 //! Capture files of every kind, and damaged ones.
 
-mod common;
-use common::*;
 use heathspur_capture::file::{Cause, Damage, Link, Reader};
 use heathspur_capture::write;
+use heathspur_rig::capture::*;
 
 /// Time, data and wire length of a packet, and its link.
 type Seen = (u64, Vec<u8>, u32, Link);
--- a/crates/heathspur-capture/tests/frames.rs
+++ b/crates/heathspur-capture/tests/frames.rs
@@ -1,11 +1,10 @@
 //! Segments in packets of every link type, in pieces, cut, and with wrong checksums.
 
-mod common;
-use common::*;
 use heathspur_capture::file::{Link, Packet};
 use heathspur_capture::frame::{Frames, Passed, Segment};
 use heathspur_capture::write::{segment, Flags};
 use heathspur_capture::Stamp;
+use heathspur_rig::capture::*;
 use std::net::SocketAddr;
 
 fn ip(payload: &[u8]) -> Vec<u8> {
--- a/crates/heathspur-capture/tests/reassembly.rs
+++ b/crates/heathspur-capture/tests/reassembly.rs
@@ -1,11 +1,10 @@
 //! Connections out of damaged captures: what can be put together is, and the rest is counted by its cause.
 
-mod common;
-use common::*;
 use heathspur_capture::exchange::{Cause, Found};
 use heathspur_capture::reassembly::{End, Event, Limits, Start};
 use heathspur_capture::write::{segment, Flags, Talk};
 use heathspur_capture::{Item, Options, Side};
+use heathspur_rig::capture::*;
 
 const NONE: Flags = Flags { syn: false, fin: false, rst: false };
 
--- a/crates/heathspur-replay/tests/runner.rs
+++ b/crates/heathspur-replay/tests/runner.rs
@@ -74,7 +74,7 @@
                         Some(ms) => {
                             // Answers of one connection come in order.
                             *busy = (*busy).max(now + ms * MS) + 1;
-                            let close = n.is_multiple_of(target.last_every);
+                            let close = n % target.last_every == 0;
                             let event = Event::Answer { lane, status: 200, digest: 9, first: *busy, close };
                             (*busy, event)
                         }
--- a/crates/heathspur-capture/tests/common/mod.rs
+++ b/crates/heathspur-rig/src/capture.rs
@@ -1,5 +1,4 @@
-//! Captures made for tests: conversations of two sides, packet by packet.
-#![allow(dead_code)]
+//! Captures made up: conversations of two sides, packet by packet; and what reading one gives.
 
 use heathspur_capture::exchange::{Found, Message};
 use heathspur_capture::write::{self, Talk};
--- /dev/null
+++ b/crates/heathspur-rig/src/lib.rs
@@ -0,0 +1,13 @@
+//! Stand-ins on loopback: all that a server talks to, scripted or by itself; callers; captures made up and
+//! damaged; a server that keeps what it is sent; a proxy that breaks connections byte by byte.
+//!
+//! For tests, the example and measurements. A stand-in that is not met as it expects panics: that fails the
+//! test which it stands in for.
+#![forbid(unsafe_code)]
+#![allow(missing_docs)]
+
+pub mod capture;
+pub mod proxy;
+pub mod scripted;
+pub mod sink;
+pub mod toy;
--- a/crates/heathspurd/tests/common/mod.rs
+++ b/crates/heathspur-rig/src/scripted.rs
@@ -58,8 +58,15 @@
     file
 }
 
+/// A program of this workspace, built beside the one that runs: tests lie a folder below.
+pub fn built(name: &str) -> PathBuf {
+    let this = std::env::current_exe().unwrap();
+    let folders = this.ancestors().skip(1).take(3);
+    folders.map(|folder| folder.join(name)).find(|file| file.is_file()).expect("the program is built")
+}
+
 pub fn program(file: &PathBuf) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_heathspurd"));
+    let mut command = Command::new(built("heathspurd"));
     command.env("NODE_CONFIG", file).stderr(Stdio::piped());
     command
 }
@@ -243,7 +250,7 @@
     }
 
     /// The next command that is not about gauges; those are answered.
-    pub fn next(&mut self) -> Value {
+    pub fn command(&mut self) -> Value {
         let start = Instant::now();
         loop {
             assert!(start.elapsed() < NEVER, "no command came but for gauges");
@@ -276,7 +283,7 @@
 
     /// The next command, which starts a run: its task, class and body.
     pub fn apply(&mut self) -> (String, String, Vec<u8>) {
-        let command = self.next();
+        let command = self.command();
         assert_eq!(command["verb"], "APPLY", "{command}");
         let text = |field: &str| command[field].as_str().unwrap().to_string();
         (text("task"), text("handler"), STANDARD.decode(text("bytes")).unwrap())
--- /dev/null
+++ b/crates/heathspurctl/src/cli.rs
@@ -0,0 +1,135 @@
+//! The command line.
+
+use crate::{config, cut, info, replay, requests};
+use clap::{Args, CommandFactory, Parser, Subcommand};
+use std::fmt;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+const AFTER: &str = "\
+Exit codes: 0 done; 1 a replay lost a request or broke a rule, or a file is wrong; 2 a file or an argument can't \
+be used; 3 the capture is damaged, and all before the place named was used.";
+
+/// Tools beside the heathspur daemon.
+#[derive(Debug, Parser)]
+#[command(name = "heathspurctl", version, after_help = AFTER)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Captures: what is in them, parts of them, sending them again.
+    #[command(subcommand)]
+    Pcap(Pcap),
+    /// The operator's file.
+    #[command(subcommand)]
+    Config(Config),
+    /// Print completions for a shell.
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+    /// Print the manual page.
+    Man,
+}
+
+#[derive(Debug, Subcommand)]
+enum Pcap {
+    /// A summary: packets, connections, requests by class and status, latency, what was left out.
+    Info(Source),
+    /// Each request, as a table or as lines of JSON.
+    Requests(requests::Options),
+    /// A capture of a part of another.
+    Cut(cut::Options),
+    /// Send the recorded requests again, with their recorded timing.
+    Replay(Box<replay::Options>),
+}
+
+#[derive(Debug, Subcommand)]
+enum Config {
+    /// Read an operator's file, hold it against its schema, and say what is wrong.
+    Check {
+        /// The file.
+        file: PathBuf,
+        /// The memory of the process, in MiB, to hold limits against.
+        #[arg(long, value_name = "MIB")]
+        memory: Option<u64>,
+    },
+    /// Print the schema.
+    Schema,
+}
+
+/// A capture and how it is read.
+#[derive(Clone, Debug, Args)]
+pub struct Source {
+    /// The capture: pcap or pcapng.
+    pub file: PathBuf,
+    /// Leave out segments with wrong checksums. Captures made on a sender are full of them.
+    #[arg(long)]
+    pub checksums: bool,
+    /// A port of the server, for connections whose start was not captured. May be given more than once.
+    #[arg(long = "server-port", value_name = "PORT")]
+    pub server_ports: Vec<u16>,
+    /// The field that names the tenant.
+    #[arg(long, value_name = "FIELD", default_value = "X-Merchant")]
+    pub tenant_field: String,
+}
+
+/// Why a command could not be carried out.
+#[derive(Debug)]
+pub enum Fault {
+    /// A file can't be read or written.
+    File(PathBuf, std::io::Error),
+    /// Anything else; the code is the exit code.
+    Other(u8, String),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::File(file, e) => write!(f, "{}: {e}", file.display()),
+            Fault::Other(_, what) => f.write_str(what),
+        }
+    }
+}
+
+impl Fault {
+    fn code(&self) -> u8 {
+        match self {
+            Fault::File(..) => 2,
+            Fault::Other(code, _) => *code,
+        }
+    }
+}
+
+/// The whole program.
+pub fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Pcap(Pcap::Info(source)) => info::run(&source),
+        Command::Pcap(Pcap::Requests(options)) => requests::run(&options),
+        Command::Pcap(Pcap::Cut(options)) => cut::run(&options),
+        Command::Pcap(Pcap::Replay(options)) => replay::run(&options),
+        Command::Config(Config::Check { file, memory }) => config::check(&file, memory),
+        Command::Config(Config::Schema) => {
+            print!("{}", heathspur_operator::SCHEMA);
+            Ok(())
+        }
+        Command::Completions { shell } => {
+            let mut command = Cli::command();
+            clap_complete::generate(shell, &mut command, "heathspurctl", &mut std::io::stdout());
+            Ok(())
+        }
+        Command::Man => clap_mangen::Man::new(Cli::command())
+            .render(&mut std::io::stdout())
+            .map_err(|e| Fault::File("standard output".into(), e)),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("heathspurctl: {fault}");
+            ExitCode::from(fault.code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/heathspurctl/src/main.rs
@@ -0,0 +1,20 @@
+//! `heathspurctl`: tools beside the daemon.
+#![forbid(unsafe_code)]
+
+mod charts;
+mod cli;
+mod config;
+mod connection;
+mod cut;
+mod info;
+mod load;
+mod replay;
+mod report;
+mod requests;
+mod source;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::main()
+}
--- /dev/null
+++ b/crates/heathspurctl/src/report.rs
@@ -0,0 +1,89 @@
+//! The report of a replay: on the terminal, as JSON, as charts.
+
+use crate::charts;
+use crate::info::plain;
+use crate::load::Loaded;
+use crate::replay::Replayed;
+use heathspur_replay::audit::{Audit, Times};
+use heathspur_replay::plan::Plan;
+use heathspur_replay::renew::Changed;
+use heathspur_replay::runner::End;
+use serde_json::json;
+use std::fs::File;
+use std::io::{self, BufWriter, Write};
+use std::path::Path;
+
+/// Prints the audit.
+pub fn print(loaded: &Loaded, audit: &Audit, changed: Changed) {
+    let mut table = plain();
+    let mut row = |name: &str, value: String| {
+        table.add_row([name.to_string(), value]);
+    };
+    row("requests planned", audit.requests.to_string());
+    row("sent", audit.sent.to_string());
+    row("answered once", audit.answered.to_string());
+    row("connection ended without an answer", audit.broken.to_string());
+    row("not answered in time", audit.timed_out.to_string());
+    for (why, count) in &audit.unsent {
+        row(&format!("not sent: {why:?}"), count.to_string());
+    }
+    row("answers to nothing", audit.counts.extra_answers.to_string());
+    row("late", audit.late.to_string());
+    row("keys with two results", audit.keys_differ.to_string());
+    for (status, count) in &audit.statuses {
+        row(&format!("status {status}"), count.to_string());
+    }
+    let compared = audit.compared;
+    row("same as recorded", compared.same.to_string());
+    row("status differs", compared.status_differs.to_string());
+    row("body differs", compared.body_differs.to_string());
+    row("answered only now, only then, never", {
+        format!("{}, {}, {}", compared.only_now, compared.only_recorded, compared.neither)
+    });
+    let times = |t: &Times| {
+        format!("p50 {:.3}  p99 {:.3}  p99.9 {:.3}  max {:.3} ms", t.p50_ms, t.p99_ms, t.p999_ms, t.max_ms)
+    };
+    row("lateness of the sender", times(&audit.lateness));
+    row("drift", format!("{:.3} ms a second", audit.drift_ms_per_s));
+    row("latency recorded", times(&audit.recorded_latency));
+    row("latency from the intended time", times(&audit.latency));
+    row("changed: ids, keys, stamps", format!("{}, {}, {}", changed.ids, changed.keys, changed.stamps));
+    for (cause, bytes) in &loaded.passed {
+        row(&format!("bytes of clients left out: {cause:?}"), bytes.to_string());
+    }
+    if let Some(damage) = loaded.tally.damage {
+        row("the capture is damaged", damage.to_string());
+    }
+    println!("{table}");
+}
+
+/// Writes `report.json`, `requests.jsonl` and the charts.
+pub fn write(
+    folder: &Path,
+    loaded: &Loaded,
+    plan: &Plan,
+    replayed: &Replayed,
+    audit: &Audit,
+) -> io::Result<()> {
+    std::fs::create_dir_all(folder)?;
+    let whole = json!({"audit": audit, "changed": replayed.changed});
+    std::fs::write(folder.join("report.json"), format!("{whole:#}\n"))?;
+    let mut lines = BufWriter::new(File::create(folder.join("requests.jsonl"))?);
+    for (send, outcome) in plan.sends.iter().zip(&replayed.outcomes) {
+        let request = &loaded.requests[send.recorded];
+        let ms = |nanos: u64| nanos as f64 / 1e6;
+        let (end, status, answered) = match outcome.end {
+            End::Answered { status, last, .. } => ("answered".to_string(), Some(status), Some(ms(last))),
+            other => (format!("{other:?}").to_lowercase(), None, None),
+        };
+        let line = json!({
+            "connection": request.conn, "copy": send.copy, "intended_ms": ms(outcome.intended),
+            "sent_ms": outcome.sent.map(ms), "answered_ms": answered, "end": end, "status": status,
+            "recorded_status": request.answer.as_ref().map(|answer| answer.status),
+        });
+        writeln!(lines, "{line}")?;
+    }
+    lines.flush()?;
+    charts::rates(&folder.join("rates.svg"), plan, &replayed.outcomes)?;
+    charts::latency(&folder.join("latency.svg"), loaded, plan, &replayed.outcomes)
+}
--- /dev/null
+++ b/crates/heathspurctl/src/requests.rs
@@ -0,0 +1,151 @@
+//! `pcap requests`: each request with its answer.
+
+use crate::cli::{Fault, Source};
+use crate::source;
+use clap::{Args, ValueEnum};
+use heathspur_capture::exchange::{Found, Message};
+use heathspur_capture::reassembly::Event;
+use heathspur_capture::{ConnId, Item};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+use std::io::Write;
+use std::net::SocketAddr;
+
+/// Requests that wait for their answers at most; the oldest of a connection is printed without one then.
+const WAITING: usize = 65_536;
+
+/// How requests are printed.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Format {
+    /// Columns.
+    Table,
+    /// An object a line.
+    Json,
+}
+
+#[derive(Debug, Args)]
+pub struct Options {
+    #[command(flatten)]
+    source: Source,
+    /// How they are printed.
+    #[arg(long, value_enum, default_value = "table")]
+    format: Format,
+}
+
+#[derive(Serialize)]
+struct Row {
+    connection: u64,
+    index: u64,
+    client: Option<SocketAddr>,
+    /// Unix time of the first byte, in seconds.
+    at: f64,
+    /// From the first byte to the last.
+    arriving_ms: f64,
+    class: String,
+    tenant: Option<String>,
+    bytes: usize,
+    status: Option<u16>,
+    latency_ms: Option<f64>,
+    #[serde(skip)]
+    last: u64,
+}
+
+struct Rows<'a> {
+    options: &'a Options,
+    clients: HashMap<ConnId, SocketAddr>,
+    waiting: BTreeMap<(ConnId, u64), Row>,
+    /// The first fault of writing; nothing is written after it.
+    ended: Option<std::io::Error>,
+}
+
+impl Rows<'_> {
+    fn take(&mut self, item: Item) {
+        match item {
+            Item::Connection(Event::Opened { conn, client, .. }) => {
+                self.clients.insert(conn, client);
+            }
+            Item::Connection(Event::Closed { conn, .. }) => {
+                self.clients.remove(&conn);
+                let keys: Vec<_> =
+                    self.waiting.range((conn, 0)..=(conn, u64::MAX)).map(|(key, _)| *key).collect();
+                keys.into_iter().for_each(|key| self.print(key));
+            }
+            Item::Connection(_) | Item::Message(Found::Passed { .. }) => {}
+            Item::Message(Found::Request { conn, index, message }) => {
+                let row = self.row(conn, index, &message);
+                self.waiting.insert((conn, index), row);
+                if self.waiting.len() > WAITING {
+                    if let Some(&oldest) = self.waiting.keys().next() {
+                        self.print(oldest);
+                    }
+                }
+            }
+            Item::Message(Found::Answer { conn, to: Some(to), message }) => {
+                if let Some(row) = self.waiting.get_mut(&(conn, to)) {
+                    row.status = message.status();
+                    row.latency_ms = Some(message.last.0.saturating_sub(row.last) as f64 / 1e6);
+                    self.print((conn, to));
+                }
+            }
+            Item::Message(Found::Answer { .. }) => {}
+        }
+    }
+
+    fn row(&self, conn: ConnId, index: u64, message: &Message) -> Row {
+        Row {
+            connection: conn.0,
+            index,
+            client: self.clients.get(&conn).copied(),
+            at: message.first.0 as f64 / 1e9,
+            arriving_ms: message.last.since(message.first) as f64 / 1e6,
+            class: source::class(message),
+            tenant: source::field(message, &self.options.source.tenant_field),
+            bytes: message.bytes.len(),
+            status: None,
+            latency_ms: None,
+            last: message.last.0,
+        }
+    }
+
+    fn print(&mut self, key: (ConnId, u64)) {
+        let Some(row) = self.waiting.remove(&key) else { return };
+        let text = match self.options.format {
+            Format::Json => serde_json::to_string(&row).unwrap_or_default(),
+            Format::Table => {
+                let or_none = |value: Option<String>| value.unwrap_or_else(|| "-".into());
+                format!(
+                    "{:>20.6} {:>8} {:>5} {:<20} {:<16} {:>7} {:>6} {:>10}",
+                    row.at,
+                    row.connection,
+                    row.index,
+                    row.class,
+                    or_none(row.tenant),
+                    row.bytes,
+                    or_none(row.status.map(|s| s.to_string())),
+                    or_none(row.latency_ms.map(|ms| format!("{ms:.3}")))
+                )
+            }
+        };
+        if self.ended.is_none() {
+            self.ended = writeln!(std::io::stdout().lock(), "{text}").err();
+        }
+    }
+}
+
+/// Prints the requests, each once its answer is known or can't come any more.
+pub fn run(options: &Options) -> Result<(), Fault> {
+    if let Format::Table = options.format {
+        println!(
+            "{:>20} {:>8} {:>5} {:<20} {:<16} {:>7} {:>6} {:>10}",
+            "at", "conn", "index", "class", "tenant", "bytes", "status", "ms"
+        );
+    }
+    let mut rows = Rows { options, clients: HashMap::new(), waiting: BTreeMap::new(), ended: None };
+    let tally = source::read(&options.source, |item| rows.take(item))?;
+    match rows.ended {
+        // A reader that has seen enough is no fault.
+        Some(e) if e.kind() == std::io::ErrorKind::BrokenPipe => Ok(()),
+        Some(e) => Err(Fault::File("standard output".into(), e)),
+        None => source::damaged(&options.source, &tally),
+    }
+}
--- a/crates/heathspurd/tests/example.rs
+++ b/crates/heathspurd/tests/example.rs
@@ -1,8 +1,6 @@
 //! The toy and the example configuration, used as the README tells a newcomer to.
 
-#[allow(dead_code)]
-mod common;
-use common::*;
+use heathspur_rig::scripted::*;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
 use std::process::{Command, Stdio};
--- a/crates/heathspurd/tests/program.rs
+++ b/crates/heathspurd/tests/program.rs
@@ -1,8 +1,6 @@
 //! The command line, the operator's file and the log, as the process shows them.
 
-#[allow(dead_code)]
-mod common;
-use common::*;
+use heathspur_rig::scripted::*;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
 use std::net::TcpStream;
--- a/crates/heathspurd/tests/server.rs
+++ b/crates/heathspurd/tests/server.rs
@@ -1,9 +1,8 @@
 //! The program on loopback against scripted stand-ins. Tests wait for events; only what never comes times out.
 
-mod common;
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
-use common::*;
+use heathspur_rig::scripted::*;
 use serde_json::json;
 use std::io::{Read, Write};
 
@@ -109,7 +108,7 @@
         client.send(&request(txn, None, b"abc"));
         assert_eq!(vm.apply().0, task(txn));
         drop(client);
-        let stop = vm.next();
+        let stop = vm.command();
         assert_eq!((&stop["verb"], &stop["task"]), (&json!("BREAK"), &json!(task(txn))));
         vm.value(&task(txn), "cancelled", b"");
     }
@@ -191,7 +190,7 @@
     assert_eq!((id, &body[..]), (task(1), &b"\r\n\0ask"[..]));
     store.say(b"0000000000000009 OK 1\r\nx\r\n");
     store.say(format!("{} OK 4\r\n\r\n\0!\r\n", task(1)).as_bytes());
-    let command = vm.next();
+    let command = vm.command();
     assert_eq!((&command["verb"], &command["task"]), (&json!("RESOLVE"), &json!(task(1))));
     assert_eq!(STANDARD.decode(command["bytes"].as_str().unwrap()).unwrap(), b"\r\n\0!");
     vm.value(&task(1), "complete", b"paid");
@@ -208,7 +207,7 @@
     let mut store = Store::accept(&rig);
     assert_eq!(store.call().1, b"ask");
     store.say(format!("{} OK 0\r\n\r\n", task(1)).as_bytes());
-    assert_eq!(vm.next()["verb"], "RESOLVE");
+    assert_eq!(vm.command()["verb"], "RESOLVE");
 }
 
 #[test]
@@ -236,7 +235,7 @@
     client.send(&request(1, None, b"abc"));
     vm.apply();
     let index = vm.awaits(&task(1), b"ask");
-    let command = vm.next();
+    let command = vm.command();
     assert_eq!((&command["verb"], &command["index"]), (&json!("STUB"), &json!(index)));
     vm.value(&task(1), "complete", b"less");
     assert_eq!(client.answer().2, b"less");
@@ -274,7 +273,7 @@
 
 /// The next command goes on with that request, with this reply.
 fn resolved(vm: &mut Vm, txn: u64, reply: &str) {
-    let command = vm.next();
+    let command = vm.command();
     assert_eq!((&command["verb"], &command["task"]), (&json!("RESOLVE"), &json!(task(txn))));
     assert_eq!(STANDARD.decode(command["bytes"].as_str().unwrap()).unwrap(), reply.as_bytes());
 }
@@ -341,7 +340,7 @@
     second.ok(2, "b");
     // The run is told again on the new link.
     let mut told: Vec<_> =
-        (0..3).map(|_| vm.next()).map(|c| (c["verb"].clone(), c["task"].clone())).collect();
+        (0..3).map(|_| vm.command()).map(|c| (c["verb"].clone(), c["task"].clone())).collect();
     told.sort_by_key(|(_, task)| task.to_string());
     let expected = [("RESOLVE", 1), ("RESOLVE", 2), ("APPLY", 3)];
     assert_eq!(told, expected.map(|(verb, txn)| (json!(verb), json!(task(txn)))));
