Record what callers, server and links say to pcapng, off the owning thread and bounded

In the daemon streams carry an option for a tape; items go to a thread by a bounded queue and a budget of bytes, past which they are left out and counted. Off by default, switched on in the operator's file; links need contents=full, since their bodies can't be overwritten in place.

--- a/crates/heathspur-operator/src/lib.rs
+++ b/crates/heathspur-operator/src/lib.rs
@@ -267,6 +267,13 @@
         if record.directory.as_os_str().is_empty() {
             return mistake("record.@directory", "a folder is expected".into());
         }
+        if record.links && record.contents != Contents::Full {
+            // The interpreter's lines hold bodies in a coding of their own, which can't be overwritten in place.
+            return mistake(
+                "record.@links",
+                "contents=\"full\" is expected beside it: links carry bodies".into(),
+            );
+        }
         let size = record.files.size;
         if !(64 << 10..=16 << 30).contains(&size.0) {
             return mistake("record.files.@size", format!("{size} where 64 KiB to 16 GiB is expected"));
--- a/crates/heathspur-operator/tests/read.rs
+++ b/crates/heathspur-operator/tests/read.rs
@@ -64,7 +64,8 @@
 ];
 
 /// Wrong in a way that a schema can't tell, or that is a matter of bounds on values with units.
-const OUT_OF_BOUNDS: [(&str, &str); 5] = [
+const OUT_OF_BOUNDS: [(&str, &str); 6] = [
+    ("<record directory=\"/x\" links=\"true\"/>", "o.xml:3: record@links: contents=\"full\" is expected"),
     (
         "<record directory=\"/x\"><files size=\"63 KiB\"/></record>",
         "o.xml:3: files@size: 63 KiB where 64 KiB",
--- a/crates/heathspur-rig/src/scripted.rs
+++ b/crates/heathspur-rig/src/scripted.rs
@@ -140,12 +140,25 @@
     }
 
     pub fn with(edit: impl FnOnce(&mut Value)) -> Rig {
+        Rig::run(edit, None)
+    }
+
+    /// With an operator's file.
+    pub fn operated(operator: &std::path::Path) -> Rig {
+        Rig::run(|_| {}, Some(operator))
+    }
+
+    fn run(edit: impl FnOnce(&mut Value), operator: Option<&std::path::Path>) -> Rig {
         let (vm, store, announce) = (local(), local(), local());
         let at = |l: &TcpListener| l.local_addr().unwrap();
         let mut config = config(at(&vm), at(&announce), at(&store));
         edit(&mut config);
         let file = write_config(&config.to_string());
-        let mut child = program(&file).spawn().unwrap();
+        let mut command = program(&file);
+        if let Some(operator) = operator {
+            command.args(["serve", "--operator"]).arg(operator);
+        }
+        let mut child = command.spawn().unwrap();
         let (line, lines) = mpsc::channel();
         let stderr = child.stderr.take().unwrap();
         thread::spawn(move || {
@@ -177,9 +190,14 @@
         self.process.signal("HUP");
     }
 
-    /// Waits for a line of the log that holds these words.
-    pub fn logs(&self, words: &str) {
-        while !self.lines.recv_timeout(NEVER).expect(words).contains(words) {}
+    /// Waits for a line of the log that holds these words, and gives it.
+    pub fn logs(&self, words: &str) -> String {
+        loop {
+            let line = self.lines.recv_timeout(NEVER).expect(words);
+            if line.contains(words) {
+                return line;
+            }
+        }
     }
 
     /// The interpreter's end of a link that is up.
--- a/crates/heathspurd/src/announce.rs
+++ b/crates/heathspurd/src/announce.rs
@@ -1,12 +1,13 @@
 //! Reports to the announce service: one a second, at once on a change, again soon after a failure.
 
 use crate::link::{self, Bell, Inflow, Target};
-use async_io::{Async, Timer};
+use crate::tape::Stream;
+use async_io::Timer;
 use futures_lite::{future, AsyncWriteExt};
 use heathspur_wire::http::{self, Fields, Limits, Reader};
 use std::cell::Cell;
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::warn;
@@ -76,7 +77,7 @@
     address: SocketAddr,
     name: &str,
     accepting: bool,
-    connection: &mut Option<Async<TcpStream>>,
+    connection: &mut Option<Stream>,
 ) -> io::Result<()> {
     let body = format!(r#"{{"accepting":"{accepting}"}}"#);
     let mut out = Vec::new();
@@ -88,13 +89,13 @@
             return Ok(());
         }
     }
-    *connection = exchange(link::connect(address).await?, &out).await?;
+    *connection = exchange(link::connect(address, None).await?, &out).await?;
     Ok(())
 }
 
 /// One call and its answer; the connection is given back where it stays open.
-async fn exchange(mut stream: Async<TcpStream>, out: &[u8]) -> io::Result<Option<Async<TcpStream>>> {
-    stream.write_all(out).await?;
+async fn exchange(stream: Stream, out: &[u8]) -> io::Result<Option<Stream>> {
+    (&stream).write_all(out).await?;
     let (mut reader, mut inflow) = (Reader::new(LIMITS), Inflow::new());
     loop {
         inflow.fill(&stream).await?;
--- a/crates/heathspurd/src/inbox.rs
+++ b/crates/heathspurd/src/inbox.rs
@@ -4,11 +4,13 @@
 use crate::crowd::Crowd;
 use crate::interpreter;
 use crate::store;
+use crate::tape::Tap;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use heathspur::{ClassId, RequestId, Span, TenantId};
 use heathspur_settings::Names;
 use std::cell::Cell;
+use std::rc::Rc;
 
 /// The name of a try on the wire: 16 hexadecimal digits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -98,6 +100,8 @@
     pub leaving: Cell<bool>,
     /// Closed, never sent on, once no new request is taken: idle connections close.
     pub shutting: Receiver<()>,
+    /// Where traffic is recorded, if it is.
+    pub tap: Option<Rc<Tap>>,
     /// The connections.
     pub crowd: Crowd,
 }
--- a/crates/heathspurd/src/interpreter.rs
+++ b/crates/heathspurd/src/interpreter.rs
@@ -2,13 +2,14 @@
 
 use crate::inbox::{self, Txn};
 use crate::link::{connect, Bell, Inflow, Target};
+use crate::tape::{Stream, Tap};
 use async_channel::Sender;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::{future, AsyncWriteExt};
+use heathspur_record::recorder::Leg;
 use heathspur_wire::interpreter::{self as wire, Command, End, Notice, Warmth};
 use std::cell::RefCell;
-use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::warn;
@@ -48,11 +49,16 @@
 }
 
 /// Keeps the link up for ever, wherever the interpreter is found.
-pub(crate) async fn keep(target: Rc<Target>, link: Rc<Link>, news: Sender<inbox::News>) {
+pub(crate) async fn keep(
+    target: Rc<Target>,
+    link: Rc<Link>,
+    news: Sender<inbox::News>,
+    tap: Option<Rc<Tap>>,
+) {
     let (mut last, mut wait) = (0, SHORTEST);
     loop {
         let address = target.get();
-        match connect(address).await {
+        match connect(address, tap.as_ref().map(|tap| (tap, Leg::Interpreter))).await {
             Ok(stream) => {
                 let before = last;
                 let moved = async {
@@ -84,7 +90,7 @@
 }
 
 /// Carries one connection to its end and says why it ended.
-async fn talk(stream: &Async<TcpStream>, link: &Link, news: &Sender<inbox::News>, last: &mut u64) -> String {
+async fn talk(stream: &Stream, link: &Link, news: &Sender<inbox::News>, last: &mut u64) -> String {
     let mut hello = Vec::new();
     wire::write(&mut hello, Command::Connect(*last));
     {
@@ -95,7 +101,7 @@
     future::or(listen(stream, news, last), speak(stream, link)).await
 }
 
-async fn speak(mut stream: &Async<TcpStream>, link: &Link) -> String {
+async fn speak(mut stream: &Stream, link: &Link) -> String {
     let mut out = Vec::new();
     loop {
         std::mem::swap(&mut out, &mut *link.out.borrow_mut());
@@ -113,7 +119,7 @@
     }
 }
 
-async fn listen(stream: &Async<TcpStream>, news: &Sender<inbox::News>, last: &mut u64) -> String {
+async fn listen(stream: &Stream, news: &Sender<inbox::News>, last: &mut u64) -> String {
     let mut inflow = Inflow::new();
     loop {
         if let Err(e) = inflow.fill(stream).await {
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -19,21 +19,28 @@
 mod link;
 mod log;
 mod owner;
+mod record;
 mod relay;
 mod route;
 mod send;
 mod signals;
 mod store;
 mod take_in;
+mod tape;
 
 use async_executor::LocalExecutor;
 use config::Config;
 use heathspur_operator::Operator;
+use record::Recording;
 use std::fmt;
 use std::io;
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// The end of the process waits so long for the last blocks of a recording.
+const LAST_BLOCKS: Duration = Duration::from_millis(30);
 
 /// Why a server could not do its work.
 #[derive(Debug)]
@@ -44,6 +51,8 @@
     Operator(heathspur_operator::Fault),
     /// Its address could not be bound.
     Bind(std::net::SocketAddr, io::Error),
+    /// A thread could not be started.
+    Thread(io::Error),
     /// The notices of the operators can't be heard.
     Signals(io::Error),
 }
@@ -53,7 +62,7 @@
     pub fn code(&self) -> u8 {
         match self {
             Fault::Config(_) | Fault::Operator(_) => 2,
-            Fault::Bind(..) | Fault::Signals(_) => 1,
+            Fault::Bind(..) | Fault::Thread(_) | Fault::Signals(_) => 1,
         }
     }
 }
@@ -64,6 +73,7 @@
             Fault::Config(fault) => fault.fmt(f),
             Fault::Operator(fault) => fault.fmt(f),
             Fault::Bind(address, e) => write!(f, "cannot listen on {address}: {e}"),
+            Fault::Thread(e) => write!(f, "cannot start a thread: {e}"),
             Fault::Signals(e) => write!(f, "cannot hear signals: {e}"),
         }
     }
@@ -82,11 +92,21 @@
 ///
 /// Its log are events of `tracing`; who embeds it brings the subscriber.
 pub fn serve(config: Config, operator: Operator) -> Result<(), Fault> {
-    let _ = &operator;
     // Signals first: from the moment that others can connect, none of them ends the process by itself.
     let notice = signals::notices().map_err(Fault::Signals)?;
     let listener = TcpListener::bind(config.listen).map_err(|e| Fault::Bind(config.listen, e))?;
+    let recording = match &operator.record {
+        Some(record) => Some(Recording::start(&config.name, record).map_err(Fault::Thread)?),
+        None => None,
+    };
+    let tap = recording.as_ref().map(|recording| recording.tap.clone());
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(owner::serve(executor.clone(), config, listener, notice)))
-        .map_err(Fault::Signals)
+    let served =
+        async_io::block_on(executor.run(owner::serve(executor.clone(), config, listener, notice, tap)));
+    // What streams are left hold the tap.
+    drop(executor);
+    if let Some(recording) = recording {
+        recording.finish(LAST_BLOCKS);
+    }
+    served.map_err(Fault::Signals)
 }
--- a/crates/heathspurd/src/link.rs
+++ b/crates/heathspurd/src/link.rs
@@ -1,12 +1,15 @@
 //! What the links have in common: a bell that wakes them, connections that come up in time, bytes read.
 
+use crate::tape::{Stream, Tap};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt};
+use heathspur_record::recorder::Leg;
 use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// A connection must come up within this.
@@ -71,11 +74,11 @@
     future::or(work, late).await
 }
 
-/// A new connection.
-pub(crate) async fn connect(address: SocketAddr) -> io::Result<Async<TcpStream>> {
+/// A new connection, recorded where links are.
+pub(crate) async fn connect(address: SocketAddr, recorded: Option<(&Rc<Tap>, Leg)>) -> io::Result<Stream> {
     let stream = within(CONNECT, Async::<TcpStream>::connect(address)).await?;
     stream.get_ref().set_nodelay(true)?;
-    Ok(stream)
+    Ok(Stream::made(stream, recorded))
 }
 
 /// Bytes that were read and not used yet.
@@ -91,7 +94,7 @@
     }
 
     /// Reads more; the end of the stream is an error.
-    pub async fn fill(&mut self, mut stream: &Async<TcpStream>) -> io::Result<()> {
+    pub async fn fill(&mut self, mut stream: &Stream) -> io::Result<()> {
         self.buffer.copy_within(self.used..self.filled, 0);
         (self.filled, self.used) = (self.filled - self.used, 0);
         if self.filled == self.buffer.len() {
--- a/crates/heathspurd/src/owner.rs
+++ b/crates/heathspurd/src/owner.rs
@@ -10,6 +10,7 @@
 use crate::keys::Keys;
 use crate::link::Target;
 use crate::store::{self, News as Called};
+use crate::tape::Tap;
 use crate::{announce, take_in};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -110,6 +111,7 @@
     config: Config,
     listener: TcpListener,
     notice: Signals,
+    tap: Option<Rc<Tap>>,
 ) -> io::Result<()> {
     let (requests, new_requests) = async_channel::bounded(REQUESTS);
     let (news, new_news) = async_channel::bounded(NEWS);
@@ -125,17 +127,24 @@
         free_value: Cell::new(None),
         leaving: Cell::new(false),
         shutting,
+        tap: tap.clone(),
         crowd: Crowd::new(config.sockets.saturating_sub(SPARE + config.sockets / CALLS_PART)),
     });
     let interpreter = interpreter::Link::new();
-    let store = store::Link::new(executor.clone(), config.store, config.sockets / CALLS_PART, news.clone());
+    let store = store::Link::new(
+        executor.clone(),
+        config.store,
+        config.sockets / CALLS_PART,
+        news.clone(),
+        tap.clone(),
+    );
     let targets =
         Targets { vm: Rc::new(Target::new(config.vm)), announce: Rc::new(Target::new(config.announce)) };
     let report = announce::Report::new();
     let address = listener.local_addr()?;
     info!(%address, "listening on {address}");
     executor.spawn(take_in::accept(executor.clone(), Async::new(listener)?, front.clone())).detach();
-    executor.spawn(interpreter::keep(targets.vm.clone(), interpreter.clone(), news.clone())).detach();
+    executor.spawn(interpreter::keep(targets.vm.clone(), interpreter.clone(), news.clone(), tap)).detach();
     executor.spawn(announce::keep(targets.announce.clone(), config.name.clone(), report.clone())).detach();
     executor.spawn(hear(notice, config.clone(), news)).detach();
     let clock = Clock::start();
--- a/crates/heathspurd/src/relay.rs
+++ b/crates/heathspurd/src/relay.rs
@@ -3,12 +3,12 @@
 use crate::inbox::{Answer, Front};
 use crate::link::within;
 use crate::owner::Owner;
-use async_io::Async;
+use crate::tape::Stream;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use heathspur::RequestId;
 use heathspur_wire::http::{self, Last};
 use std::io;
-use std::net::{Shutdown, TcpStream};
+use std::net::Shutdown;
 use std::time::Duration;
 
 /// What is turned away is read off for so long, and so far, before its connection is closed.
@@ -28,12 +28,7 @@
 }
 
 /// Writes an answer; an error means that the connection is of no more use.
-pub(crate) async fn write(
-    stream: &Async<TcpStream>,
-    front: &Front,
-    answer: &Answer,
-    last: Last,
-) -> io::Result<()> {
+pub(crate) async fn write(stream: &Stream, front: &Front, answer: &Answer, last: Last) -> io::Result<()> {
     let mut fields = free_value(front);
     let (status, body) = match answer {
         Answer::Served(body) => (200, &body[..]),
@@ -57,7 +52,7 @@
 }
 
 /// Answers a health check.
-pub(crate) async fn health(stream: &Async<TcpStream>, front: &Front, last: Last) -> io::Result<()> {
+pub(crate) async fn health(stream: &Stream, front: &Front, last: Last) -> io::Result<()> {
     let mut out = Vec::new();
     let status = if front.good.get() { 200 } else { 503 };
     http::write_answer(&mut out, status, &free_value(front), last, b"");
@@ -70,7 +65,7 @@
 }
 
 /// Answers what is no request that can be taken, and ends its connection.
-pub(crate) async fn turn_away(stream: &Async<TcpStream>, status: u16) {
+pub(crate) async fn turn_away(stream: &Stream, status: u16) {
     let mut out = Vec::new();
     http::write_answer(&mut out, status, &[], Last::Yes, b"");
     // The connection ends either way.
@@ -80,7 +75,7 @@
 
 /// Reads off what the other side still sends. Closing on unread bytes would reset the connection, and the
 /// answer could be lost with it.
-async fn linger(mut stream: &Async<TcpStream>) -> io::Result<()> {
+async fn linger(mut stream: &Stream) -> io::Result<()> {
     stream.get_ref().shutdown(Shutdown::Write)?;
     let (mut chunk, mut left) = (vec![0; 8 * 1024], LINGER_BYTES);
     while left > 0 {
@@ -92,6 +87,6 @@
     Ok(())
 }
 
-async fn put(mut stream: &Async<TcpStream>, out: &[u8]) -> io::Result<()> {
+async fn put(mut stream: &Stream, out: &[u8]) -> io::Result<()> {
     within(SLOW, stream.write_all(out)).await
 }
--- a/crates/heathspurd/src/store.rs
+++ b/crates/heathspurd/src/store.rs
@@ -4,16 +4,17 @@
 
 use crate::inbox::{self, Txn};
 use crate::link::{connect, Inflow};
+use crate::tape::{Stream, Tap};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
-use async_io::Async;
 use bytes::Bytes;
 use futures_lite::AsyncWriteExt;
 use heathspur::{Outcome, RequestId};
+use heathspur_record::recorder::Leg;
 use heathspur_wire::store::{self as wire, Word};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::warn;
@@ -48,7 +49,7 @@
 
 /// A connection, to be used for one call at a time.
 struct Line {
-    stream: Async<TcpStream>,
+    stream: Stream,
     inflow: Inflow,
     address: SocketAddr,
     /// Whose call it carried last, and when that ended. Late copies of that reply bear the same name.
@@ -83,6 +84,7 @@
     give_back: Sender<()>,
     places: Receiver<()>,
     news: Sender<inbox::News>,
+    tap: Option<Rc<Tap>>,
 }
 
 impl Link {
@@ -92,6 +94,7 @@
         address: Option<SocketAddr>,
         most: usize,
         news: Sender<inbox::News>,
+        tap: Option<Rc<Tap>>,
     ) -> Rc<Link> {
         let (give_back, places) = async_channel::bounded(most.max(1));
         while give_back.try_send(()).is_ok() {}
@@ -103,6 +106,7 @@
             give_back,
             places,
             news,
+            tap,
         })
     }
 
@@ -190,7 +194,12 @@
         if let Some(line) = found {
             return Ok(line);
         }
-        Ok(Line { stream: connect(address).await?, inflow: Inflow::new(), address, last: None })
+        Ok(Line {
+            stream: connect(address, self.tap.as_ref().map(|tap| (tap, Leg::Store))).await?,
+            inflow: Inflow::new(),
+            address,
+            last: None,
+        })
     }
 
     /// Keeps a connection. All of them, at work or idle, are no more than the places.
@@ -255,7 +264,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let executor = Rc::new(LocalExecutor::new());
         let (news, _heard) = async_channel::bounded(4);
-        let link = Link::new(executor.clone(), Some(listener.local_addr().unwrap()), 4, news);
+        let link = Link::new(executor.clone(), Some(listener.local_addr().unwrap()), 4, news, None);
         let txn = Txn::read(b"9b1f03aa5c7e2d41").unwrap();
         let call = |n| Call {
             id: RequestId(1),
--- a/crates/heathspurd/src/take_in.rs
+++ b/crates/heathspurd/src/take_in.rs
@@ -4,6 +4,7 @@
 use crate::crowd::Place;
 use crate::inbox::{Answer, Arrival, Front, News, Txn};
 use crate::relay;
+use crate::tape::Stream;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use bytes::{Buf, Bytes, BytesMut};
@@ -11,7 +12,7 @@
 use heathspur::{ClassId, RequestId, Span, TenantId};
 use heathspur_wire::http::{self, Fields, Last, Message, Reader};
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::error;
@@ -49,7 +50,7 @@
 }
 
 /// Serves one connection to its end.
-pub(crate) async fn connection(stream: Async<TcpStream>, front: Rc<Front>, place: Place) {
+pub(crate) async fn connection(stream: Stream, front: Rc<Front>, place: Place) {
     if stream.get_ref().set_nodelay(true).is_err() {
         return;
     }
@@ -101,14 +102,14 @@
 }
 
 /// Answers what can't be taken; its place is free for others at once.
-async fn turn_away(stream: &Async<TcpStream>, place: &Place, status: u16) {
+async fn turn_away(stream: &Stream, place: &Place, status: u16) {
     // It ends either way.
     let _ = place.rest(relay::turn_away(stream, status)).await;
 }
 
 /// Waits for the answer while it watches the connection; none once the caller is gone.
 async fn wait(
-    stream: &Async<TcpStream>,
+    stream: &Stream,
     buffer: &mut BytesMut,
     answers: &async_channel::Receiver<Answer>,
 ) -> Option<Answer> {
@@ -126,7 +127,7 @@
 
 /// Reads until the buffer starts with a whole message.
 async fn next(
-    stream: &Async<TcpStream>,
+    stream: &Stream,
     front: &Front,
     buffer: &mut BytesMut,
     reader: &mut Reader,
@@ -173,7 +174,7 @@
 }
 
 /// Appends what has come.
-async fn read(mut stream: &Async<TcpStream>, buffer: &mut BytesMut) -> io::Result<usize> {
+async fn read(mut stream: &Stream, buffer: &mut BytesMut) -> io::Result<usize> {
     stream.readable().await?;
     let held = buffer.len();
     buffer.resize(held + CHUNK, 0);
@@ -309,7 +310,10 @@
         };
         match future::or(async { Some(listener.accept().await) }, shut).await {
             None => {}
-            Some(Ok((stream, _))) => executor.spawn(connection(stream, front.clone(), place)).detach(),
+            Some(Ok((stream, _))) => {
+                let stream = Stream::accepted(stream, front.tap.as_ref());
+                executor.spawn(connection(stream, front.clone(), place)).detach();
+            }
             Some(Err(e)) => {
                 error!(error = %e, "cannot accept a connection: {e}");
                 drop(place);
@@ -320,6 +324,7 @@
     // What the machine has accepted already is served still.
     while let (Some(place), Ok((stream, _))) = (Place::take(&front), listener.get_ref().accept()) {
         if let Ok(stream) = Async::new(stream) {
+            let stream = Stream::accepted(stream, front.tap.as_ref());
             executor.spawn(connection(stream, front.clone(), place)).detach();
         }
     }
