Take in every report of a replay's connections, however many come at once

Cause: the owner of a replay took its 65th report in a row off the queue and dropped it. At ten times speed three of 400 connections never learnt that they were up, and their requests did not leave. Found by the measurement, by running one replay to its patience's end and listing what had not been answered.

The change: a report is only taken off the queue when it is taken in.

--- /dev/null
+++ b/crates/heathspur-measure/src/cost.rs
@@ -0,0 +1,144 @@
+//! What a request costs the daemon: before, with recording off, and with it on.
+
+use crate::large::peak_kib;
+use crate::table::Table;
+use heathspur_rig::scripted::{built, config, local, request, Client, Running};
+use heathspur_rig::swift;
+use serde_json::json;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::thread;
+use std::time::Instant;
+
+const CALLERS: u64 = 16;
+const REQUESTS: u64 = 30_000;
+const ROUNDS: usize = 5;
+
+/// One play: requests a second, microseconds of CPU a request, peak memory in KiB, answers of 200.
+#[derive(Clone, Copy, Default)]
+struct Play {
+    rate: f64,
+    micros: f64,
+    peak: u64,
+    good: u64,
+}
+
+fn play(program: &Path, folder: &Path, operator: Option<&Path>) -> Play {
+    let (vm, store, announce) = (local(), local(), local());
+    let at = |l: &std::net::TcpListener| l.local_addr().expect("an address");
+    let mut settings = config(at(&vm), at(&announce), at(&store));
+    settings["settings"]["realms"][0]["quota-per-s"] = json!(1e6);
+    settings["settings"]["family-info"]["mem-limit-kb"] = json!(90_000.0);
+    let file = folder.join("config.json");
+    std::fs::write(&file, settings.to_string()).expect("the configuration is written");
+    swift::interpreter(vm);
+    swift::announce(announce);
+    let mut command = Command::new(program);
+    command.env("NODE_CONFIG", &file).stderr(Stdio::piped());
+    if let Some(operator) = operator {
+        command.args(["serve", "--operator"]).arg(operator);
+    }
+    let mut child = command.spawn().expect("the daemon starts");
+    let mut lines = BufReader::new(child.stderr.take().expect("a pipe")).lines().map_while(Result::ok);
+    let first = lines.next().expect("the daemon says where it listens");
+    let address: SocketAddr = first.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+    thread::spawn(move || lines.for_each(drop));
+    let running = Running(child);
+    load(address, 2_000, 0);
+    let before = cpu_nanos(running.0.id());
+    let start = Instant::now();
+    let good = load(address, REQUESTS, 1 << 32);
+    let seconds = start.elapsed().as_secs_f64();
+    let micros = (cpu_nanos(running.0.id()) - before) as f64 / 1000.0 / REQUESTS as f64;
+    Play { rate: REQUESTS as f64 / seconds, micros, peak: peak_kib(running.0.id()).unwrap_or(0), good }
+}
+
+/// So many requests, over connections that each wait for their answer; how many were served.
+fn load(address: SocketAddr, requests: u64, from: u64) -> u64 {
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            thread::spawn(move || {
+                let mut client = Client::to(address);
+                let each = requests / CALLERS;
+                let txns = from + caller * each..from + (caller + 1) * each;
+                txns.filter(|txn| {
+                    client.send(&request(*txn, None, b"4929001234567890"));
+                    client.answer().0 == 200
+                })
+                .count() as u64
+            })
+        })
+        .collect();
+    callers.into_iter().map(|caller| caller.join().unwrap_or(0)).sum()
+}
+
+/// Time on cores that a process's threads have had.
+fn cpu_nanos(id: u32) -> u64 {
+    let threads = std::fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten();
+    threads
+        .filter_map(|task| std::fs::read_to_string(task.path().join("schedstat")).ok())
+        .filter_map(|text| text.split(' ').next()?.parse::<u64>().ok())
+        .sum()
+}
+
+fn operator(folder: &Path, contents: &str) -> PathBuf {
+    let records = folder.join(format!("records-{contents}"));
+    std::fs::create_dir_all(&records).expect("a folder");
+    let file = folder.join(format!("{contents}.xml"));
+    let text = format!(
+        "<operator xmlns=\"urn:heathspur:operator:1\"><record directory=\"{}\" contents=\"{contents}\"><files keep=\"2\"/></record></operator>",
+        records.display()
+    );
+    std::fs::write(&file, text).expect("the operator's file is written");
+    file
+}
+
+pub fn measure(folder: &Path, baseline: &Path, table: &mut Table) {
+    let daemon = built("heathspurd");
+    let (headers, full) = (operator(folder, "headers"), operator(folder, "full"));
+    let ways: [(&str, &Path, Option<&Path>); 4] = [
+        ("before", baseline, None),
+        ("off", &daemon, None),
+        ("headers", &daemon, Some(&headers)),
+        ("full", &daemon, Some(&full)),
+    ];
+    let mut plays = vec![Vec::new(); ways.len()];
+    for round in 0..ROUNDS {
+        // By turns, and the other way round each second time, so that what the machine does meets all alike.
+        let mut order: Vec<usize> = (0..ways.len()).collect();
+        if round % 2 == 1 {
+            order.reverse();
+        }
+        for way in order {
+            let (_, program, operator) = ways[way];
+            plays[way].push(play(program, folder, operator));
+        }
+    }
+    let least = |way: usize| plays[way].iter().map(|play| play.micros).fold(f64::MAX, f64::min);
+    let median = |way: usize| {
+        let mut all: Vec<f64> = plays[way].iter().map(|play| play.micros).collect();
+        all.sort_by(f64::total_cmp);
+        all[all.len() / 2]
+    };
+    for (way, (name, ..)) in ways.iter().enumerate() {
+        let rate = plays[way].iter().map(|play| play.rate).fold(0.0, f64::max);
+        let peak = plays[way].iter().map(|play| play.peak).max().unwrap_or(0);
+        let good = plays[way].iter().map(|play| play.good).min().unwrap_or(0);
+        table.row(
+            &format!("recording: {name}"),
+            format!(
+                "{:.2} us of CPU a request at least, {:.2} median; {rate:.0}/s; {:.1} MiB; {good} of {REQUESTS} served",
+                least(way),
+                median(way),
+                peak as f64 / 1024.0
+            ),
+            "all served",
+            good == REQUESTS,
+        );
+    }
+    let ratio = least(1) / least(0);
+    table.row("cost with recording off against before", format!("{ratio:.3}"), "at most 1.02", ratio <= 1.02);
+    table.figure(format!("cost off/before {ratio:.3}, full/before {:.3}", least(3) / least(0)));
+}
--- /dev/null
+++ b/crates/heathspur-measure/src/main.rs
@@ -0,0 +1,47 @@
+//! Measurements that are too long for tests. `measure pcap`: captures read, replayed and recorded.
+#![forbid(unsafe_code)]
+
+mod cost;
+mod large;
+mod storm;
+mod table;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use table::Table;
+
+/// Measurements on loopback.
+#[derive(Debug, Parser)]
+struct Cli {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Debug, Subcommand)]
+enum What {
+    /// Traffic from pcap files.
+    Pcap {
+        /// The daemon as it was before, to compare the cost of a request with.
+        #[arg(long)]
+        baseline: PathBuf,
+        /// Where tables and charts go.
+        #[arg(long)]
+        results: PathBuf,
+        /// Size of the large file, in MiB.
+        #[arg(long, default_value_t = 2048)]
+        large: u64,
+    },
+}
+
+fn main() -> ExitCode {
+    let What::Pcap { baseline, results, large } = Cli::parse().what;
+    let folder = std::env::temp_dir().join(format!("heathspur-measure-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for the measurement's files");
+    let mut table = Table::new("pcap");
+    storm::measure(&folder, &results, &mut table);
+    large::measure(&folder, large << 20, &mut table);
+    cost::measure(&folder, &baseline, &mut table);
+    let _ = std::fs::remove_dir_all(&folder);
+    table.finish(&results)
+}
--- /dev/null
+++ b/crates/heathspur-measure/src/table.rs
@@ -0,0 +1,58 @@
+//! The table of a measurement: what was measured, what was asked, whether it holds.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+pub struct Table {
+    name: &'static str,
+    rows: Vec<(String, String, String, bool)>,
+    figures: Vec<String>,
+}
+
+impl Table {
+    pub fn new(name: &'static str) -> Table {
+        Table { name, rows: Vec::new(), figures: Vec::new() }
+    }
+
+    /// A row with what is asked of it.
+    pub fn row(&mut self, what: &str, got: String, asked: &str, holds: bool) {
+        println!("{:<4} {what}: {got} ({asked})", if holds { "ok" } else { "FAIL" });
+        self.rows.push((what.to_string(), got, asked.to_string(), holds));
+    }
+
+    /// A row that only tells.
+    pub fn tell(&mut self, what: &str, got: String) {
+        self.row(what, got, "-", true);
+    }
+
+    /// A figure of the last line.
+    pub fn figure(&mut self, figure: String) {
+        self.figures.push(figure);
+    }
+
+    /// Writes the page, prints the last line.
+    pub fn finish(self, results: &Path) -> ExitCode {
+        let holds = self.rows.iter().all(|row| row.3);
+        let verdict = if holds { "PASS" } else { "FAIL" };
+        let mut page = format!("# Measured: {}\n\n{}\n\n", self.name, machine());
+        page += "Everything on loopback, against stand-ins of this repository.\n\n";
+        page += "| what | measured | asked | holds |\n| --- | --- | --- | --- |\n";
+        for (what, got, asked, holds) in &self.rows {
+            page += &format!("| {what} | {got} | {asked} | {} |\n", if *holds { "yes" } else { "no" });
+        }
+        page += "\n![Requests a second](pcap-rates.svg)\n\n![Latency](pcap-latency.svg)\n";
+        let written = std::fs::write(results.join(format!("{}.md", self.name)), page);
+        println!("{}: {verdict} {}", self.name, self.figures.join(", "));
+        ExitCode::from(u8::from(!holds || written.is_err()))
+    }
+}
+
+fn machine() -> String {
+    let cpus = std::fs::read_to_string("/proc/cpuinfo").unwrap_or_default();
+    let model = cpus.lines().find_map(|line| line.strip_prefix("model name")).unwrap_or(": unknown");
+    let model = model.trim_start_matches(['\t', ' ', ':']);
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    let date = std::process::Command::new("date").arg("+%Y-%m-%d").output();
+    let date = date.map(|out| String::from_utf8_lossy(&out.stdout).trim().to_string()).unwrap_or_default();
+    format!("{date}, {cores} cores of {model}.")
+}
--- a/crates/heathspur-rig/src/lib.rs
+++ b/crates/heathspur-rig/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod proxy;
 pub mod scripted;
 pub mod sink;
+pub mod swift;
 pub mod toy;
--- a/crates/heathspurctl/src/replay.rs
+++ b/crates/heathspurctl/src/replay.rs
@@ -208,8 +208,8 @@
         };
         let report = async { inbox.recv().await.ok() };
         let mut next = future::or(timer, report).await;
-        for _ in 0..AT_ONCE {
-            let Some(report) = next.take() else { break };
+        let mut taken = 0;
+        while let Some(report) = next {
             let lane = lane_of(&report.event);
             if lines[lane].as_ref().is_some_and(|line| line.life == report.life) {
                 if matches!(report.event, Event::Failed(..) | Event::Closed(_)) {
@@ -218,7 +218,10 @@
                 let at = report.at.saturating_duration_since(start).as_nanos() as u64;
                 runner.event(at, report.event);
             }
-            next = inbox.try_recv().ok();
+            taken += 1;
+            // What is taken off the queue is taken in: a report that was dropped here left its connection
+            // waiting for ever.
+            next = if taken < AT_ONCE { inbox.try_recv().ok() } else { None };
         }
     }
     Replayed { outcomes: runner.outcomes().to_vec(), counts: runner.counts(), changed }
--- a/crates/heathspurctl/tests/pcap.rs
+++ b/crates/heathspurctl/tests/pcap.rs
@@ -154,6 +154,27 @@
     std::fs::remove_dir_all(report).unwrap();
 }
 
+#[test]
+fn a_burst_of_connections_loses_no_report_of_any() {
+    let mut packets = Vec::new();
+    for conn in 0..300 {
+        let mut script = Script::open(10_000 + conn);
+        for n in 0..3 {
+            script.say(Side::Client, &keyed(u64::from(conn) * 3 + n, "look", "k", START / MS), 1000);
+            script.say(Side::Server, &answer(200, b"done"), 100);
+        }
+        script.close();
+        packets.extend(script.packets);
+    }
+    packets.sort_by_key(|(at, _)| *at);
+    let file = temporary("burst.pcap");
+    std::fs::write(&file, pcap(&packets)).unwrap();
+    let sink = Sink::start(Manner::default());
+    let output = replay(&file, &sink, &["--speed", "100"]);
+    assert_eq!(output.status.code(), Some(0), "{}", said(&output));
+    assert_eq!(sink.received().len(), 900);
+}
+
 #[test]
 fn fresh_ids_are_asked_for_where_requests_are_sent_more_than_once() {
     let (file, sent) = capture("renew.pcap");
