--- a/crates/heathspur-measure/src/main.rs
+++ b/crates/heathspur-measure/src/main.rs
@@ -32,16 +32,33 @@
         #[arg(long, default_value_t = 2048)]
         large: u64,
     },
+    /// What a request costs the daemon, alone.
+    Cost {
+        /// The daemon as it was before.
+        #[arg(long)]
+        baseline: PathBuf,
+    },
 }
 
 fn main() -> ExitCode {
-    let What::Pcap { baseline, results, large } = Cli::parse().what;
+    let what = Cli::parse().what;
     let folder = std::env::temp_dir().join(format!("heathspur-measure-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder for the measurement's files");
-    let mut table = Table::new("pcap");
-    storm::measure(&folder, &results, &mut table);
-    large::measure(&folder, large << 20, &mut table);
-    cost::measure(&folder, &baseline, &mut table);
+    let done = match what {
+        What::Pcap { baseline, results, large } => {
+            let mut table = Table::new("pcap");
+            storm::measure(&folder, &results, &mut table);
+            large::measure(&folder, large << 20, &mut table);
+            cost::round(&folder, &mut table);
+            cost::measure(&folder, &baseline, &mut table);
+            table.finish(&results)
+        }
+        What::Cost { baseline } => {
+            let mut table = Table::new("cost");
+            cost::measure(&folder, &baseline, &mut table);
+            table.finish(&folder)
+        }
+    };
     let _ = std::fs::remove_dir_all(&folder);
-    table.finish(&results)
+    done
 }
--- a/crates/heathspur-rig/src/proxy.rs
+++ b/crates/heathspur-rig/src/proxy.rs
@@ -17,10 +17,13 @@
     pub split: usize,
     /// Each piece waits up to this.
     pub delay: Duration,
-    /// Of a thousand pieces, so many break the connection at a byte within them.
+    /// Of a thousand connections, so many break at a byte of the client's, below `within`.
     pub cut_per_mille: u32,
-    /// Of a thousand connections, so many go silent after some bytes, and stay open.
+    /// Of a thousand connections, so many go silent at such a byte, and stay open.
     pub silent_per_mille: u32,
+    /// Bytes of a client within which faults lie. They are drawn before anything passes, so that how the bytes
+    /// come in pieces changes no fate.
+    pub within: usize,
 }
 
 /// What it did.
@@ -42,20 +45,37 @@
             counts.connections.fetch_add(1, Ordering::Relaxed);
             let Ok(back) = TcpStream::connect(target) else { continue };
             let mut lots = StdRng::seed_from_u64(seed ^ (number as u64) << 20);
-            let silent = lots.random_range(0..1000) < faults.silent_per_mille;
-            for (from, to, salt) in [(&front, &back, 1), (&back, &front, 2)] {
+            let fate = lots.random_range(0..1000);
+            let at = lots.random_range(0..faults.within.max(1));
+            let fate = match fate {
+                n if n < faults.cut_per_mille => Fate::Cut(at),
+                n if n < faults.cut_per_mille + faults.silent_per_mille => Fate::Silent(at),
+                _ => Fate::Whole,
+            };
+            for (from, to, fate) in [(&front, &back, fate), (&back, &front, Fate::Whole)] {
                 let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { continue };
-                let (lots, counts) = (StdRng::seed_from_u64(lots.random::<u64>() ^ salt), counts.clone());
-                thread::spawn(move || pass(from, to, faults, silent, lots, &counts));
+                let (lots, counts) = (StdRng::seed_from_u64(lots.random()), counts.clone());
+                thread::spawn(move || pass(from, to, faults, fate, lots, &counts));
             }
         }
     });
     (address, done)
 }
 
-fn pass(mut from: TcpStream, mut to: TcpStream, faults: Faults, silent: bool, mut lots: StdRng, done: &Done) {
+/// What becomes of a client's bytes.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Whole,
+    Cut(usize),
+    Silent(usize),
+}
+
+fn pass(mut from: TcpStream, mut to: TcpStream, faults: Faults, fate: Fate, mut lots: StdRng, done: &Done) {
     let _ = to.set_nodelay(true);
-    let mut left = if silent { lots.random_range(0..4096) } else { usize::MAX };
+    let mut left = match fate {
+        Fate::Whole => usize::MAX,
+        Fate::Cut(at) | Fate::Silent(at) => at,
+    };
     let mut chunk = vec![0; 16 * 1024];
     loop {
         let read = match from.read(&mut chunk) {
@@ -63,33 +83,34 @@
             _ => break,
         };
         let mut rest = &chunk[..read.min(left)];
-        if read > left {
-            done.silent.fetch_add(1, Ordering::Relaxed);
-        }
+        let over = read > left;
         left -= rest.len();
         while !rest.is_empty() {
             let most = if faults.split == 0 { rest.len() } else { faults.split.min(rest.len()) };
             let size = if faults.split == 0 { most } else { lots.random_range(1..=most) };
-            let (mut piece, after) = rest.split_at(size);
+            let (piece, after) = rest.split_at(size);
             rest = after;
-            let cut = lots.random_range(0..1000) < faults.cut_per_mille;
-            if cut {
-                piece = &piece[..lots.random_range(0..=piece.len())];
-            }
             if !faults.delay.is_zero() {
                 thread::sleep(faults.delay.mul_f64(lots.random::<f64>()));
             }
-            if to.write_all(piece).is_err() || cut {
-                done.cut.fetch_add(u64::from(cut), Ordering::Relaxed);
+            if to.write_all(piece).is_err() {
                 let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
                 return;
             }
         }
-        if left == 0 {
-            // Silent: it reads on, passes nothing, and closes nothing.
-            while matches!(from.read(&mut chunk), Ok(n) if n > 0) {}
-            thread::sleep(Duration::from_secs(3600));
-            return;
+        match fate {
+            Fate::Cut(_) if over => {
+                done.cut.fetch_add(1, Ordering::Relaxed);
+                let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
+                return;
+            }
+            Fate::Silent(_) if over => {
+                // It reads on, passes nothing, and closes nothing while the client stays.
+                done.silent.fetch_add(1, Ordering::Relaxed);
+                while matches!(from.read(&mut chunk), Ok(n) if n > 0) {}
+                return;
+            }
+            _ => {}
         }
     }
     let _ = to.shutdown(Shutdown::Write);
--- a/crates/heathspur-rig/src/swift.rs
+++ b/crates/heathspur-rig/src/swift.rs
@@ -32,10 +32,12 @@
                 json!({"verb": "VALUE", "index": index, "task": command["task"], "outcome": "complete", "spent": 0,
                     "bytes": command["bytes"]})
             }
-            _ => continue,
+            _ => Value::Null,
         };
-        out.extend_from_slice(reply.to_string().as_bytes());
-        out.push(b'\n');
+        if !reply.is_null() {
+            out.extend_from_slice(reply.to_string().as_bytes());
+            out.push(b'\n');
+        }
         if reader.buffer().is_empty() {
             (&stream).write_all(&out).ok()?;
             out.clear();
--- a/crates/heathspurctl/src/replay.rs
+++ b/crates/heathspurctl/src/replay.rs
@@ -67,6 +67,9 @@
     /// Requests open at once at most; what would be more is not sent, and counted.
     #[arg(long, value_name = "N", default_value_t = 8192)]
     open: usize,
+    /// A request that is not answered for so long is given up, with its connection.
+    #[arg(long, value_name = "SECONDS", default_value_t = 30.0)]
+    patience: f64,
     /// An answer later than this after its intended time breaks a rule.
     #[arg(long, value_name = "SECONDS")]
     late_after: Option<f64>,
@@ -134,7 +137,12 @@
 }
 
 fn play(loaded: &Loaded, plan: &Plan, options: &Options) -> Replayed {
-    let limits = Limits { connections: options.connections, open: options.open, ..Limits::default() };
+    let limits = Limits {
+        connections: options.connections,
+        open: options.open,
+        answer: (options.patience.max(0.0) * 1e9) as u64,
+        ..Limits::default()
+    };
     let executor = Rc::new(LocalExecutor::new());
     let work = owner(executor.clone(), loaded, plan, limits, options);
     async_io::block_on(executor.run(work))
--- a/crates/heathspurd/src/cli.rs
+++ b/crates/heathspurd/src/cli.rs
@@ -52,7 +52,12 @@
 
 /// The whole program.
 pub(crate) fn main() -> ExitCode {
-    let command = Cli::parse().command.unwrap_or(Command::Serve(Files::default()));
+    // Without arguments nothing is parsed: the parser's pages stay out of a small machine's memory.
+    let command = match std::env::args_os().len() {
+        0 | 1 => None,
+        _ => Cli::parse().command,
+    };
+    let command = command.unwrap_or(Command::Serve(Files::default()));
     let done = match &command {
         Command::Serve(files) => files.read().and_then(|(config, operator)| {
             log::install(&operator.log);
