--- a/crates/heathspur-capture/tests/frames.rs
+++ b/crates/heathspur-capture/tests/frames.rs
@@ -122,3 +122,40 @@
     assert_eq!(frames.segment(&Packet { data: &pieces[0], ..late }), Err(Passed::Piece));
     assert_eq!(frames.given_up(), 1000);
 }
+
+#[test]
+fn ipv4_options_are_stepped_over() {
+    let plain = ip(b"hello");
+    // Router alert and padding: two words more of header.
+    let options = [148, 4, 0, 0, 1, 1, 1, 0];
+    let mut data = [&plain[..20], &options, &plain[20..]].concat();
+    data[0] = 0x47;
+    let length = data.len() as u16;
+    data[2..4].copy_from_slice(&length.to_be_bytes());
+    let segment = found(&mut Frames::new(true), Link::Ip, &data).unwrap();
+    assert_eq!((&segment.payload[..], segment.lost), (&b"hello"[..], 0));
+}
+
+#[test]
+fn pieces_of_ipv6_are_put_together() {
+    let (from, to): (SocketAddr, SocketAddr) =
+        ("[fd00::7]:4000".parse().unwrap(), "[fd00::1]:6565".parse().unwrap());
+    let whole = segment(from, to, (1, Some(2)), Flags::default(), &[7; 100]);
+    let parts: Vec<_> = whole[40..].chunks(48).collect();
+    let last = parts.len() - 1;
+    let mut frames = Frames::new(true);
+    // The last comes first.
+    for n in (0..parts.len()).rev() {
+        let offset = (n * 48) as u16 | u16::from(n < last);
+        let fragment = [&[6, 0][..], &offset.to_be_bytes(), &[0, 0, 0, 9]].concat();
+        let mut data = [&whole[..40], &fragment, parts[n]].concat();
+        data[6] = 44;
+        let length = data.len() as u16 - 40;
+        data[4..6].copy_from_slice(&length.to_be_bytes());
+        let segment = found(&mut frames, Link::Ip, &data);
+        match n {
+            0 => assert_eq!(segment.unwrap().payload.len(), 100),
+            _ => assert_eq!(segment, Err(Passed::Piece)),
+        }
+    }
+}
--- a/crates/heathspur-measure/src/cost.rs
+++ b/crates/heathspur-measure/src/cost.rs
@@ -30,7 +30,7 @@
 }
 
 /// A daemon with stand-ins that answer at once, and where it listens.
-fn start(program: &Path, folder: &Path, operator: Option<&Path>) -> (Running, SocketAddr) {
+fn start(program: &Path, folder: &Path, operator: Option<&Path>) -> (Running, SocketAddr, swift::Runs) {
     let (vm, store, announce) = (local(), local(), local());
     let at = |l: &std::net::TcpListener| l.local_addr().expect("an address");
     let mut settings = config(at(&vm), at(&announce), at(&store));
@@ -39,7 +39,7 @@
     settings["settings"]["family-info"]["mem-limit-kb"] = json!(90_000.0);
     let file = folder.join("config.json");
     std::fs::write(&file, settings.to_string()).expect("the configuration is written");
-    swift::interpreter(vm);
+    let runs = swift::interpreter(vm);
     swift::announce(announce);
     let mut command = Command::new(program);
     command.env("NODE_CONFIG", &file).stderr(Stdio::piped());
@@ -51,11 +51,11 @@
     let first = lines.next().expect("the daemon says where it listens");
     let address: SocketAddr = first.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
     thread::spawn(move || lines.for_each(|line| eprintln!("{line}")));
-    (Running(child), address)
+    (Running(child), address, runs)
 }
 
 fn play(program: &Path, folder: &Path, operator: Option<&Path>) -> Play {
-    let (running, address) = start(program, folder, operator);
+    let (running, address, _) = start(program, folder, operator);
     load(address, 2_000, 0);
     let before = cpu_nanos(running.0.id());
     let start = Instant::now();
@@ -84,6 +84,16 @@
     callers.into_iter().map(|caller| caller.join().unwrap_or(0)).sum()
 }
 
+/// 2,000 keyed requests of 500 keys, one after another; each key has a body of its own.
+fn keyed(address: SocketAddr) {
+    let mut client = Client::to(address);
+    for n in 0..2_000_u64 {
+        let key = n % 500;
+        client.send(&request(n | 1 << 40, Some(&format!("key-{key}")), format!("pay-{key}").as_bytes()));
+        client.answer();
+    }
+}
+
 /// Time on cores that a process's threads have had.
 fn cpu_nanos(id: u32) -> u64 {
     let threads = std::fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten();
@@ -111,18 +121,17 @@
     let record = |name: &str, drive: &dyn Fn(SocketAddr)| {
         let records = folder.join(format!("records-{name}"));
         let operator = operator(folder, name, "full");
-        let (mut running, address) = start(&daemon, folder, Some(&operator));
+        let (mut running, address, runs) = start(&daemon, folder, Some(&operator));
         drive(address);
         running.terminate();
         running.wait();
         let files = std::fs::read_dir(&records).into_iter().flatten().flatten().map(|entry| entry.path());
-        files.collect::<Vec<_>>()
+        let most = runs.lock().map_or(u64::MAX, |runs| runs.values().copied().max().unwrap_or(0));
+        (files.collect::<Vec<_>>(), most)
     };
-    let first = record("first", &|address| {
-        load(address, 2_000, 1 << 40);
-    });
+    let (first, ran_first) = record("first", &keyed);
     let [file] = &first[..] else { panic!("one file was expected: {first:?}") };
-    let second = record("second", &|address| {
+    let (second, ran_second) = record("second", &|address| {
         let target = address.to_string();
         let replayed = Command::new(built("heathspurctl"))
             .args(["pcap", "replay", "--to-server", &target])
@@ -143,6 +152,12 @@
         "2000, the same bytes",
         before.len() == 2000 && before == after,
     );
+    table.row(
+        "runs of a key at most, recorded and replayed, each key sent four times",
+        format!("{ran_first}, {ran_second}"),
+        "1, 1",
+        (ran_first, ran_second) == (1, 1),
+    );
 }
 
 pub fn measure(folder: &Path, baseline: &Path, table: &mut Table) {
--- a/crates/heathspur-replay/tests/runner.rs
+++ b/crates/heathspur-replay/tests/runner.rs
@@ -250,6 +250,43 @@
     assert!(unsent(&played)[&Unsent::Exhausted] > 50);
 }
 
+#[test]
+fn where_descriptors_run_out_a_resting_connection_makes_room() {
+    // The second connection is needed while the first rests for long.
+    let recorded =
+        [request(1, 0, "a", Some(3)), request(2, 500, "b", Some(3)), request(1, 5000, "c", Some(3))];
+    let plan = schedule(&recorded, &Options::default());
+    let mut runner = Runner::new(&plan, Limits::default(), 3);
+    let (mut actions, mut now) = (Vec::new(), 0);
+    let mut until = |runner: &mut Runner<'_>, wanted: Action, now: &mut u64| {
+        while !actions.contains(&wanted) {
+            *now = runner.next_time().expect("something is to come").max(*now);
+            runner.step(*now, &mut actions);
+        }
+        actions.retain(|action| *action != wanted);
+    };
+    let answer = |lane, now| Event::Answer { lane, status: 200, digest: 9, first: now, close: false };
+    until(&mut runner, Action::Connect(0), &mut now);
+    runner.event(now, Event::Connected(0));
+    until(&mut runner, Action::Send(0), &mut now);
+    runner.event(now, answer(0, now));
+    until(&mut runner, Action::Connect(1), &mut now);
+    runner.event(now, Event::Failed(1, Failure::Exhausted));
+    until(&mut runner, Action::Close(0), &mut now);
+    until(&mut runner, Action::Connect(1), &mut now);
+    runner.event(now, Event::Connected(1));
+    until(&mut runner, Action::Send(1), &mut now);
+    assert!(now <= 520 * MS, "{now}");
+    runner.event(now, answer(1, now));
+    // The first is made again in time for its next request.
+    until(&mut runner, Action::Connect(0), &mut now);
+    runner.event(now, Event::Connected(0));
+    until(&mut runner, Action::Send(2), &mut now);
+    assert!(now <= 5000 * MS, "{now}");
+    runner.event(now, answer(0, now));
+    assert!(runner.done() && runner.counts().made_room == 1);
+}
+
 #[test]
 fn one_key_with_two_results_is_told() {
     let recorded =
--- a/crates/heathspur-rig/src/swift.rs
+++ b/crates/heathspur-rig/src/swift.rs
@@ -1,20 +1,29 @@
 //! Stand-ins that answer at once, for measuring what a request costs the server.
 
 use serde_json::{json, Value};
+use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread;
 
-/// An interpreter that ends each run at once with the request's own body.
-pub fn interpreter(listener: TcpListener) {
+/// How often each body ran, as it came in base64.
+pub type Runs = Arc<Mutex<HashMap<String, u64>>>;
+
+/// An interpreter that ends each run at once with the request's own body, and counts runs of each.
+pub fn interpreter(listener: TcpListener) -> Runs {
+    let runs = Runs::default();
+    let counted = runs.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            thread::spawn(move || link(stream));
+            let runs = runs.clone();
+            thread::spawn(move || link(stream, &runs));
         }
     });
+    counted
 }
 
-fn link(stream: TcpStream) -> Option<()> {
+fn link(stream: TcpStream, runs: &Runs) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let mut reader = BufReader::new(stream.try_clone().ok()?);
     let (mut line, mut index, mut out) = (String::new(), 0, Vec::new());
@@ -29,6 +38,7 @@
             "TOP" => json!({"verb": "TOPS", "nonce": command["nonce"], "readings": [0.1, 0, 0.1, 2]}),
             "APPLY" => {
                 index += 1;
+                *runs.lock().ok()?.entry(command["bytes"].as_str()?.to_string()).or_default() += 1;
                 json!({"verb": "VALUE", "index": index, "task": command["task"], "outcome": "complete", "spent": 0,
                     "bytes": command["bytes"]})
             }
