Notice that a recording's folder is gone under the open file

Cause: a file whose folder was removed can still be written to, so recording went on unseen until the next change of files, up to ten minutes; the test only took the folder away before the first file.

The change: the file is looked up once for each write of blocks, some five a second at most unless there is much to write.

Measured: the new test fails without the change (no line in 20 s) and passes with it; the other tests of recording pass.

--- a/crates/heathspurd/src/record.rs
+++ b/crates/heathspurd/src/record.rs
@@ -56,6 +56,8 @@
     recorder: Recorder,
     files: Files,
     file: Option<File>,
+    /// Where that file is.
+    path: PathBuf,
     /// Bytes of the file that are whole blocks.
     whole: u64,
     start: Instant,
@@ -81,6 +83,7 @@
             recorder: Recorder::new(terms),
             files: Files::new(&name, limits, there),
             file: None,
+            path: PathBuf::new(),
             whole: 0,
             start: Instant::now(),
             pending: Vec::new(),
@@ -145,6 +148,8 @@
     }
 
     fn write(&mut self, blocks: &[u8]) -> io::Result<()> {
+        // A file whose folder was taken away can still be written to, but nobody would find it.
+        std::fs::symlink_metadata(&self.path)?;
         let file = self.file.as_mut().ok_or(io::ErrorKind::NotFound)?;
         file.write_all(blocks)?;
         self.whole += blocks.len() as u64;
@@ -160,8 +165,8 @@
                 _ => self.files.deleted(name),
             }
         }
-        // A folder that went away and came back is an ordinary case: the old file would be written unseen.
-        let mut file = OpenOptions::new().write(true).create_new(true).open(self.directory.join(make))?;
+        self.path = self.directory.join(make);
+        let mut file = OpenOptions::new().write(true).create_new(true).open(&self.path)?;
         let start = self.recorder.start();
         file.write_all(&start)?;
         self.whole = start.len() as u64;
@@ -199,7 +204,8 @@
         let mut writer = Writer::new("n 1", &record);
         // The file that is open lies on a device that is always full.
         writer.files.made(0, "n_1-full", 0);
-        writer.file = Some(OpenOptions::new().write(true).open("/dev/full").unwrap());
+        writer.path = PathBuf::from("/dev/full");
+        writer.file = Some(OpenOptions::new().write(true).open(&writer.path).unwrap());
         writer.pending = vec![0; 4096];
         writer.put();
         assert!(writer.file.is_none() && names(&folder).is_empty());
--- a/crates/heathspurd/tests/record.rs
+++ b/crates/heathspurd/tests/record.rs
@@ -160,6 +160,25 @@
     assert!(rig.logs("recording").contains("recording goes on in n3-"));
 }
 
+#[test]
+fn a_folder_that_goes_under_an_open_file_is_noticed() {
+    let folder = Folder::new("under");
+    let (rig, mut vm) = recording(&folder.operator("contents=\"full\"", ""));
+    serve(&rig, &mut vm, 1..3);
+    folder.holds(2);
+    std::fs::remove_dir_all(&folder.0).unwrap();
+    serve(&rig, &mut vm, 10..12);
+    rig.logs("recording has stopped");
+    std::fs::create_dir_all(&folder.0).unwrap();
+    let start = Instant::now();
+    let mut txn = 100;
+    while folder.read().requests.is_empty() {
+        assert!(start.elapsed() < NEVER);
+        serve(&rig, &mut vm, txn..txn + 1);
+        txn += 1;
+    }
+}
+
 #[test]
 fn a_process_that_is_killed_leaves_whole_blocks() {
     let folder = Folder::new("killed");
