Tell a recording's links apart in captures, and give heathspurctl's files a leaf

pcap info counted what a recording holds of the interpreter's and the store's links as "messages passed over: Cut": their lines are no HTTP. Ordinary captures are read as before.

heathspurctl's files stood in one circle through cli.rs (Fault, Source) and another between report and replay: given.rs and table.rs are leaves, and what a replay gave stands with its report.

Shown by the process test of recorded links: before, passed held client and server bytes of two connections that are no requests; now nothing is passed over and both legs are counted.

--- a/crates/heathspur-capture/src/file.rs
+++ b/crates/heathspur-capture/src/file.rs
@@ -5,8 +5,8 @@
 //! anything waits for them, blocks that hold no packet are passed over without being kept, and time stamps in
 //! powers of two and offsets in big-endian sections are right.
 
-use crate::Stamp;
-use pcap_parser::pcapng::{Block, InterfaceDescriptionBlock};
+use crate::{Leg, Stamp};
+use pcap_parser::pcapng::{Block, InterfaceDescriptionBlock, OptionCode};
 use pcap_parser::traits::PcapNGPacketBlock;
 use std::fmt;
 
@@ -73,6 +73,8 @@
     pub data: &'a [u8],
     /// Its length on the wire, in bytes; more than is kept where it was cut.
     pub wire_len: u32,
+    /// Where a recording of ours saw it, by the name of its interface.
+    pub leg: Option<Leg>,
 }
 
 /// What makes the rest of a file unusable.
@@ -120,6 +122,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Interface {
     link: Link,
+    leg: Option<Leg>,
     snap: u32,
     /// Units of its time stamps per second, as a power of ten or of two.
     resolution: Resolution,
@@ -172,7 +175,14 @@
     /// So many bytes hold no packet.
     Pass(u64),
     /// A packet: bytes in all, where its data stand, when, how long on the wire.
-    Packet { whole: usize, data: std::ops::Range<usize>, time: Stamp, link: Link, wire_len: u32 },
+    Packet {
+        whole: usize,
+        data: std::ops::Range<usize>,
+        time: Stamp,
+        link: Link,
+        wire_len: u32,
+        leg: Option<Leg>,
+    },
 }
 
 /// Finds one packet after another in bytes that come in pieces.
@@ -252,11 +262,11 @@
                 }
                 Ok(Step::More) => return Ok(None),
                 Ok(Step::Pass(count)) => self.pass(count),
-                Ok(Step::Packet { whole, data, time, link, wire_len }) => {
+                Ok(Step::Packet { whole, data, time, link, wire_len, leg }) => {
                     let start = self.used;
                     self.used += whole;
                     let data = &self.buffer[start + data.start..start + data.end];
-                    return Ok(Some(Packet { time, link, data, wire_len }));
+                    return Ok(Some(Packet { time, link, data, wire_len, leg }));
                 }
             }
         }
@@ -345,7 +355,7 @@
     let unit = 1_000_000_000 / u64::from(per_second);
     let time = Stamp(u64::from(found.ts_sec) * 1_000_000_000 + u64::from(found.ts_usec) * unit);
     let whole = 16 + found.data.len();
-    Ok(Step::Packet { whole, data: 16..whole, time, link, wire_len: found.origlen })
+    Ok(Step::Packet { whole, data: 16..whole, time, link, wire_len: found.origlen, leg: None })
 }
 
 fn block(bytes: &[u8], big: &mut bool, interfaces: &mut Vec<Interface>) -> Result<Step, Cause> {
@@ -403,7 +413,8 @@
             let time = Stamp(nanos.clamp(0, u64::MAX.into()) as u64);
             let data = 28..28 + data.len();
             let wire_len = found.origlen.max(found.caplen);
-            return Ok(Step::Packet { whole: length, data, time, link: interface.link, wire_len });
+            let (link, leg) = (interface.link, interface.leg);
+            return Ok(Step::Packet { whole: length, data, time, link, wire_len, leg });
         }
         Block::SimplePacket(found) => {
             let interface = interfaces.first().ok_or(Cause::Interface(0))?;
@@ -419,6 +430,7 @@
                 time,
                 link: interface.link,
                 wire_len: found.origlen,
+                leg: interface.leg,
             });
         }
         _ => {}
@@ -430,7 +442,9 @@
     let resolution = Resolution::of(found.if_tsresol).ok_or(Cause::Garbled)?;
     // The library reads the offset as little-endian whatever the section is.
     let offset = if big { found.if_tsoffset.swap_bytes() } else { found.if_tsoffset };
-    Ok(Interface { link: Link::of(found.linktype.0), snap: found.snaplen, resolution, offset })
+    let name = found.options.iter().find(|option| option.code == OptionCode::IfName);
+    let leg = name.and_then(|name| Leg::named(name.as_bytes().unwrap_or_default()));
+    Ok(Interface { link: Link::of(found.linktype.0), leg, snap: found.snaplen, resolution, offset })
 }
 
 fn word(bytes: &[u8], at: usize, big: bool) -> u32 {
--- a/crates/heathspur-capture/src/lib.rs
+++ b/crates/heathspur-capture/src/lib.rs
@@ -47,6 +47,36 @@
     }
 }
 
+/// Where a recording of ours saw a packet: the names of its interfaces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Leg {
+    /// Callers.
+    Front,
+    /// The interpreter's link, in lines of JSON.
+    Interpreter,
+    /// The store's connections, in lines.
+    Store,
+}
+
+impl Leg {
+    /// All, by the places of their interfaces.
+    pub const ALL: [Leg; 3] = [Leg::Front, Leg::Interpreter, Leg::Store];
+
+    /// The name of its interface.
+    pub fn name(self) -> &'static str {
+        match self {
+            Leg::Front => "front",
+            Leg::Interpreter => "interpreter",
+            Leg::Store => "store",
+        }
+    }
+
+    /// The one of that name.
+    pub fn named(name: &[u8]) -> Option<Leg> {
+        Leg::ALL.into_iter().find(|leg| leg.name().as_bytes() == name)
+    }
+}
+
 /// A connection of a capture, numbered in the order in which they were first seen. A port that is used again
 /// has a new number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/heathspur-capture/src/pipeline.rs
+++ b/crates/heathspur-capture/src/pipeline.rs
@@ -4,7 +4,7 @@
 use crate::file::{Damage, Reader};
 use crate::frame::{Frames, Passed};
 use crate::reassembly::{self, Assembler, Counts, Event};
-use crate::Stamp;
+use crate::{Leg, Stamp};
 use std::collections::BTreeMap;
 
 /// How a capture is read.
@@ -29,6 +29,8 @@
     pub cut_packets: u64,
     /// Packets that gave no segment.
     pub passed: BTreeMap<Passed, u64>,
+    /// Packets of a recording's links, and their bytes. What they say is no HTTP and is not read.
+    pub links: BTreeMap<Leg, (u64, u64)>,
     /// Datagrams in pieces that were never whole.
     pub pieces_given_up: u64,
     /// What the reassembly counted.
@@ -106,6 +108,11 @@
                 self.tally.first.get_or_insert(packet.time);
                 self.tally.last = self.tally.last.max(packet.time);
             }
+            if let Some(leg @ (Leg::Interpreter | Leg::Store)) = packet.leg {
+                let (packets, bytes) = self.tally.links.entry(leg).or_default();
+                (*packets, *bytes) = (*packets + 1, *bytes + packet.data.len() as u64);
+                continue;
+            }
             match self.frames.segment(&packet) {
                 Ok(segment) => {
                     self.assembler.segment(&segment);
--- a/crates/heathspur-capture/tests/frames.rs
+++ b/crates/heathspur-capture/tests/frames.rs
@@ -12,7 +12,7 @@
 }
 
 fn packet(link: Link, data: &[u8]) -> Packet<'_> {
-    Packet { time: Stamp(START), link, data, wire_len: data.len() as u32 }
+    Packet { time: Stamp(START), link, data, wire_len: data.len() as u32, leg: None }
 }
 
 fn found<'a>(frames: &mut Frames, link: Link, data: &'a [u8]) -> Result<Segment<'a>, Passed> {
--- a/crates/heathspur-record/src/recorder.rs
+++ b/crates/heathspur-record/src/recorder.rs
@@ -3,6 +3,7 @@
 use crate::veil::{Terms, Veil};
 use bytes::Bytes;
 use heathspur_capture::write::{self, Talk};
+pub use heathspur_capture::Leg;
 use heathspur_capture::{Side, Stamp};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,26 +11,6 @@
 /// Connections that are followed at once; those of which nothing was heard for longest make room.
 const CONNECTIONS: usize = 4096;
 
-/// A place where traffic is seen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Leg {
-    /// Callers.
-    Front,
-    /// The interpreter.
-    Interpreter,
-    /// The store.
-    Store,
-}
-
-impl Leg {
-    /// All, by the places of their interfaces.
-    pub const ALL: [Leg; 3] = [Leg::Front, Leg::Interpreter, Leg::Store];
-
-    fn interface(self) -> u32 {
-        self as u32
-    }
-}
-
 /// A connection as it is recorded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ends {
@@ -122,7 +103,7 @@
 
     /// What a file begins with.
     pub fn start(&self) -> Vec<u8> {
-        write::ng_start(&["front", "interpreter", "store"])
+        write::ng_start(&Leg::ALL.map(Leg::name))
     }
 
     /// So many events of a leg were left out before they came here, since the last call.
@@ -185,7 +166,7 @@
         }
         for (time, packet, comment) in packets {
             self.taken[leg] += 1;
-            out.extend(write::ng_packet(ends.leg.interface(), time, &packet, packet.len() as u32, &comment));
+            out.extend(write::ng_packet(ends.leg as u32, time, &packet, packet.len() as u32, &comment));
         }
         out
     }
@@ -197,7 +178,7 @@
 
     fn statistics(&self, leg: Leg, time: Stamp) -> Vec<u8> {
         let (taken, left_out) = (self.taken[leg as usize], self.left_out[leg as usize]);
-        write::ng_statistics(leg.interface(), time, taken + left_out, left_out)
+        write::ng_statistics(leg as u32, time, taken + left_out, left_out)
     }
 
     fn make_room(&mut self) {
--- a/crates/heathspurctl/src/config.rs
+++ b/crates/heathspurctl/src/config.rs
@@ -1,6 +1,6 @@
 //! The operator's file, held against reader and schema.
 
-use crate::cli::Fault;
+use crate::given::Fault;
 use heathspur_operator::{Operator, SCHEMA};
 use std::path::Path;
 
--- a/crates/heathspurctl/src/cut.rs
+++ b/crates/heathspurctl/src/cut.rs
@@ -1,6 +1,6 @@
 //! `pcap cut`: a capture of a part of another. Packets are copied as they stand.
 
-use crate::cli::{Fault, Source};
+use crate::given::{Fault, Source};
 use crate::source;
 use clap::Args;
 use heathspur_capture::exchange::{Found, Message};
--- a/crates/heathspurctl/src/info.rs
+++ b/crates/heathspurctl/src/info.rs
@@ -1,8 +1,8 @@
 //! `pcap info`: a summary of a capture.
 
-use crate::cli::{Fault, Source};
+use crate::given::{Fault, Source};
 use crate::source;
-use comfy_table::{presets, Table};
+use crate::table::plain;
 use heathspur_capture::exchange::{Cause, Found};
 use heathspur_capture::reassembly::{End, Event};
 use heathspur_capture::{ConnId, Item, Tally};
@@ -94,13 +94,6 @@
     source::damaged(from, &tally)
 }
 
-/// A table without lines, as terminals and pipes both take.
-pub fn plain() -> Table {
-    let mut table = Table::new();
-    table.load_preset(presets::NOTHING);
-    table
-}
-
 fn lines(summary: &Summary, tally: &Tally) -> Vec<(String, String)> {
     let seconds = tally.first.map_or(0.0, |first| tally.last.since(first) as f64 / 1e9);
     let mut lines: Vec<(String, String)> = Vec::new();
@@ -136,6 +129,9 @@
     for (name, count) in counts.into_iter().filter(|(_, count)| *count > 0) {
         line(name, count.to_string());
     }
+    for (leg, (packets, bytes)) in &tally.links {
+        line(&format!("link to the {}, not read", leg.name()), format!("{packets} packets ({bytes} bytes)"));
+    }
     for (cause, count) in &tally.passed {
         line(&format!("packets passed over: {cause:?}"), count.to_string());
     }
--- a/crates/heathspurctl/src/load.rs
+++ b/crates/heathspurctl/src/load.rs
@@ -1,6 +1,6 @@
 //! The requests of a capture, ready to be planned.
 
-use crate::cli::{Fault, Source};
+use crate::given::{Fault, Source};
 use crate::source;
 use heathspur_capture::exchange::{Cause, Found};
 use heathspur_capture::reassembly::Event;
--- a/crates/heathspurctl/src/main.rs
+++ b/crates/heathspurctl/src/main.rs
@@ -6,12 +6,14 @@
 mod config;
 mod connection;
 mod cut;
+mod given;
 mod info;
 mod load;
 mod replay;
 mod report;
 mod requests;
 mod source;
+mod table;
 
 use std::process::ExitCode;
 
--- a/crates/heathspurctl/src/replay.rs
+++ b/crates/heathspurctl/src/replay.rs
@@ -1,10 +1,10 @@
 //! `pcap replay`: the recorded requests sent again. The decisions are those of `heathspur-replay`; here are
 //! the clock, the sockets and the files.
 
-use crate::cli::{Fault, Source};
 use crate::connection::{self, Outgoing, Report};
+use crate::given::{Fault, Source};
 use crate::load::{load, Loaded};
-use crate::report;
+use crate::report::{self, Replayed};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -13,7 +13,7 @@
 use heathspur_replay::audit::{audit, Terms};
 use heathspur_replay::plan::{self, plan, Plan};
 use heathspur_replay::renew::{Changed, Names, Renewer, Times};
-use heathspur_replay::runner::{Action, Counts, Event, Limits, Outcome, Runner};
+use heathspur_replay::runner::{Action, Event, Limits, Runner};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -84,16 +84,6 @@
     report: Option<PathBuf>,
 }
 
-/// What a replay gave.
-pub struct Replayed {
-    /// What came of each request.
-    pub outcomes: Vec<Outcome>,
-    /// Counts.
-    pub counts: Counts,
-    /// What was changed in the requests.
-    pub changed: Changed,
-}
-
 /// Replays, prints the audit, writes the report.
 pub fn run(options: &Options) -> Result<(), Fault> {
     let copies = options.repeat > 1 || options.scale_load > 1.0;
--- a/crates/heathspurctl/src/report.rs
+++ b/crates/heathspurctl/src/report.rs
@@ -1,18 +1,27 @@
 //! The report of a replay: on the terminal, as JSON, as charts.
 
 use crate::charts;
-use crate::info::plain;
 use crate::load::Loaded;
-use crate::replay::Replayed;
+use crate::table::plain;
 use heathspur_replay::audit::{Audit, Times};
 use heathspur_replay::plan::Plan;
 use heathspur_replay::renew::Changed;
-use heathspur_replay::runner::End;
+use heathspur_replay::runner::{Counts, End, Outcome};
 use serde_json::json;
 use std::fs::File;
 use std::io::{self, BufWriter, Write};
 use std::path::Path;
 
+/// What a replay gave.
+pub struct Replayed {
+    /// What came of each request.
+    pub outcomes: Vec<Outcome>,
+    /// Counts.
+    pub counts: Counts,
+    /// What was changed in the requests.
+    pub changed: Changed,
+}
+
 /// Prints the audit.
 pub fn print(loaded: &Loaded, audit: &Audit, changed: Changed) {
     let mut table = plain();
--- a/crates/heathspurctl/src/requests.rs
+++ b/crates/heathspurctl/src/requests.rs
@@ -1,6 +1,6 @@
 //! `pcap requests`: each request with its answer.
 
-use crate::cli::{Fault, Source};
+use crate::given::{Fault, Source};
 use crate::source;
 use clap::{Args, ValueEnum};
 use heathspur_capture::exchange::{Found, Message};
--- a/crates/heathspurctl/src/source.rs
+++ b/crates/heathspurctl/src/source.rs
@@ -1,6 +1,6 @@
 //! A capture's file read in a stream.
 
-use crate::cli::{Fault, Source};
+use crate::given::{Fault, Source};
 use heathspur_capture::exchange::Message;
 use heathspur_capture::{reassembly, Item, Options, Pipeline, Tally};
 use indicatif::{ProgressBar, ProgressStyle};
--- a/crates/heathspurd/tests/record.rs
+++ b/crates/heathspurd/tests/record.rs
@@ -1,7 +1,7 @@
 //! Recording, as the process does it: what it writes is read back, and no trouble with the disk reaches callers.
 
 use heathspur_capture::reassembly::Event;
-use heathspur_capture::{Item, Options};
+use heathspur_capture::{Item, Leg, Options};
 use heathspur_rig::capture::{read, Read};
 use heathspur_rig::scripted::*;
 use std::path::{Path, PathBuf};
@@ -140,6 +140,12 @@
         assert!(start.elapsed() < NEVER);
         std::thread::sleep(std::time::Duration::from_millis(20));
     }
+    // A reader knows them for what they are: no broken requests, but links that are told apart.
+    let read = folder.read();
+    let legs: Vec<_> = read.tally.links.keys().copied().collect();
+    assert_eq!(legs, [Leg::Interpreter, Leg::Store]);
+    assert!(read.tally.links.values().all(|(packets, bytes)| *packets > 0 && *bytes > 0));
+    assert_eq!((read.passed, read.requests.len(), read.tally.tcp.connections), (Vec::new(), 1, 1));
 }
 
 #[test]
