Start work that calls when nothing stands at a call, however far the cap has grown

Seen: 8 callers of a keyed class against stand-ins that end each run after 1 ms. After 8,576 to 43,800 requests nothing was started any more: each waited its aim of 10 s and was refused with 503, for as long as it was watched; link, gauges and interpreter were well, and no run was open.

Ruled out: the stand-in (it read and answered gauges on), the table of keys (its refusals are at once), memory (100 times more of it moved nothing), resets and HTTP/2 (HTTP/1.1 alone did the same), the stall guard (no log line). With calls-by-class off the same 50,000 requests were all served.

To blame: dispatch() in decide.rs. Where runs do not slow each other the cap grows to crowd * CROWD_PART, here 4 cores * 5.0 * 0.8 = 16.0. calls_full then held with nobody at a call (0 + 16 >= 16.0), so no class that calls was started, no run ended, and nothing could ever lower the cap. Now it takes somebody at a call to hold others back; the bound on the crowd itself (on the cores and at calls together) is as it was. No constant changed.

Test: work_that_calls_goes_on_when_the_cap_has_grown_to_the_crowd stops after 184 ends without the change.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -425,7 +425,8 @@
             if self.on_core >= cap + self.on_disk || (self.on_core + self.at_calls) as f64 >= ceiling {
                 return;
             }
-            let calls_full = (self.at_calls + cap) as f64 >= ceiling;
+            // With none at a call nobody comes back to the cores: waiting for room there would never end.
+            let calls_full = self.at_calls > 0 && (self.at_calls + cap) as f64 >= ceiling;
             let (mut chosen, mut lent) = (None, None);
             for i in 0..self.order.len() {
                 let line = self.order[i];
--- a/crates/heathspur/tests/guards.rs
+++ b/crates/heathspur/tests/guards.rs
@@ -500,3 +500,29 @@
         b.done(id, Outcome::Moot);
     }
 }
+
+/// Runs that share cores without slowing each other raise the cap to the crowd that the machine bears. Work that
+/// calls must not wait for room at calls where nothing stands at one: nothing would ever free it.
+#[test]
+fn work_that_calls_goes_on_when_the_cap_has_grown_to_the_crowd() {
+    let mut b = Bench::new(Settings { memory_kb: 1e6, ..settings() });
+    let (mut next, mut ended) = (1, 0);
+    for _ in 0..6_000 {
+        // Always more than can run, and each run takes as long however many there are.
+        while b.in_state(State::Held).len() < 8 {
+            b.arrive(request(next, 0), next);
+            next += 1;
+        }
+        b.pass(ms(4));
+        let running = b.running();
+        assert!(
+            !running.is_empty(),
+            "nothing runs of {} held, after {ended} ends",
+            b.in_state(State::Held).len()
+        );
+        for id in running {
+            b.done(id, Outcome::Ok);
+            ended += 1;
+        }
+    }
+}
