Put a seam between fronts and the owner, and take the circles out of the daemon's files

The daemon's files stood in two circles (owner, book, relay, take_in; crowd, inbox, interpreter, store), and the owner knew HTTP/1.1's connections. A second protocol needs a place to come in.

front.rs is the seam: a checked request with its caller's way back, gone, and the final answer; Desk is what all fronts share. HTTP/1.1 is a front behind it (http1/), its fields are checked in request.rs as any front's will be. Each front has queues of its own, and the owner takes requests from them by turns (intake.rs): a flood on one leaves every other turn to the rest, shown by a unit test. The owner's parts: owner.rs (what it owns), work.rs (the loop), hear.rs (news of the links), table.rs, book.rs; serve.rs starts all tasks. No circles are left.

--- a/crates/heathspurd/src/admit.rs
+++ b/crates/heathspurd/src/admit.rs
@@ -1,7 +1,7 @@
 //! Stage two: a request that was read becomes one that the module knows, linked to what it repeats.
 
 use crate::clock;
-use crate::inbox::{Answer, Arrival};
+use crate::front::{Answer, Arrival};
 use crate::keys::{Barred, Key, Try};
 use crate::owner::Owner;
 use heathspur::{Effect, Event, Request, Span};
--- a/crates/heathspurd/src/announce.rs
+++ b/crates/heathspurd/src/announce.rs
@@ -1,6 +1,8 @@
 //! Reports to the announce service: one a second, at once on a change, again soon after a failure.
 
-use crate::link::{self, Bell, Inflow, Target};
+use crate::bell::Bell;
+use crate::clock::within;
+use crate::link::{self, Inflow, Target};
 use crate::tape::Stream;
 use async_io::Timer;
 use futures_lite::{future, AsyncWriteExt};
@@ -50,7 +52,7 @@
             future::or(report.bell.rung(), target.moved(address)).await;
             None
         };
-        let told = link::within(CALL, tell(address, &name, accepting, &mut connection));
+        let told = within(CALL, tell(address, &name, accepting, &mut connection));
         let wait = match future::or(async { Some(told.await) }, changed).await {
             None => {
                 connection = None;
--- a/crates/heathspurd/src/book.rs
+++ b/crates/heathspurd/src/book.rs
@@ -1,119 +1,20 @@
-//! Stage six: the table of requests, and the one place where what a request held is given back.
+//! Stage five: the one final answer of each request, and the one place where what a request held is given back.
 
-use crate::inbox::{Answer, Arrival, Txn};
-use crate::keys::Key;
+use crate::front::Answer;
 use crate::owner::Owner;
-use crate::store::CallId;
-use async_channel::Sender;
+use crate::table::Work;
 use bytes::Bytes;
-use heathspur::{ClassId, Event, Outcome, RequestId, Time};
-use std::collections::{BTreeMap, HashMap};
+use heathspur::{Event, Outcome, RequestId};
 
-/// What the interpreter was told last, in case it must be told again.
-#[derive(Clone, Debug)]
-pub(crate) enum Told {
-    Apply,
-    Continue,
-    Resolve(Bytes),
-    Stub(u64),
-}
-
-/// Whether a run is to be stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Halting {
-    No,
-    Asked,
-}
-
-/// The call that a run waits for.
-#[derive(Clone, Debug)]
-pub(crate) struct Need {
-    /// The number of the notice that asked for it.
-    pub index: u64,
-    pub body: Bytes,
-}
-
-/// Where a request stands.
-#[derive(Clone, Debug)]
-pub(crate) enum Work {
-    Held,
-    Running {
-        since: Time,
-        told: Told,
-        halting: Halting,
-    },
-    Paused {
-        since: Time,
-    },
-    AtCall {
-        since: Time,
-        need: Need,
-    },
-    Calling {
-        since: Time,
-        need: Need,
-        call: CallId,
-        made: Time,
-        until: Time,
-    },
-    /// Waits for the result of another try.
-    Waiting {
-        since: Time,
-    },
-}
-
-/// One request, from its admission until nothing of it is left.
-#[derive(Debug)]
-pub(crate) struct Entry {
-    pub txn: Txn,
-    pub class: ClassId,
-    pub body: Bytes,
-    /// The way to its caller while an answer is owed.
-    pub reply: Option<Sender<Answer>>,
-    pub key: Option<Key>,
-    pub work: Work,
-}
-
-/// All requests that the module knows. Bounded by the connections, and for those that are answered and
-/// still run by the module's cap.
-#[derive(Debug, Default)]
-pub(crate) struct Table {
-    entries: BTreeMap<RequestId, Entry>,
-    names: HashMap<Txn, RequestId>,
-}
-
-impl Table {
-    pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Entry> {
-        self.entries.get_mut(&id)
-    }
-
-    pub fn get(&self, id: RequestId) -> Option<&Entry> {
-        self.entries.get(&id)
-    }
-
-    pub fn named(&self, txn: &Txn) -> Option<RequestId> {
-        self.names.get(txn).copied()
-    }
-
-    /// The requests that pass a test, oldest first.
-    pub fn find(&self, test: impl Fn(&Entry) -> bool) -> Vec<RequestId> {
-        self.entries.iter().filter(|(_, e)| test(e)).map(|(&id, _)| id).collect()
-    }
-
-    pub fn insert(&mut self, arrival: Arrival, key: Option<Key>) {
-        let Arrival { id, txn, class, body, reply, .. } = arrival;
-        self.names.insert(txn, id);
-        self.entries.insert(id, Entry { txn, class, body, reply: Some(reply), key, work: Work::Held });
-    }
-
-    fn remove(&mut self, id: RequestId) -> Option<Entry> {
-        let entry = self.entries.remove(&id)?;
-        self.names.remove(&entry.txn);
-        Some(entry)
+impl Owner {
+    /// Hands the answer to the request's front, once; later ones go nowhere.
+    pub(crate) fn answer(&mut self, id: RequestId, answer: Answer) {
+        if let Some(reply) = self.table.get_mut(id).and_then(|entry| entry.reply.take()) {
+            // A front that closed the way back has told us, or will, that the caller is gone.
+            let _ = reply.try_send(answer);
+        }
     }
-}
 
-impl Owner {
     /// Takes a request off the table and gives back all that it held: its bytes, its call with the timer,
     /// its place among the tries of its key. Its connection is its own owner.
     pub(crate) fn book_out(&mut self, id: RequestId) {
@@ -144,7 +45,7 @@
     /// The caller of a request is gone: nothing is owed, and what does not run is over.
     pub(crate) fn gone(&mut self, id: RequestId) {
         let Some(entry) = self.table.get_mut(id) else { return };
-        if entry.reply.take().is_none() || !self.front.names.cancel_seen {
+        if entry.reply.take().is_none() || !self.desk.names.cancel_seen {
             return;
         }
         self.events.push(Event::Gone(id));
--- a/crates/heathspurd/src/clock.rs
+++ b/crates/heathspurd/src/clock.rs
@@ -1,6 +1,11 @@
-//! The two clocks: a monotonic one for the module, the system's Unix clock for what others stamp.
+//! The two clocks: a monotonic one for the module, the system's Unix clock for what others stamp; and work that
+//! has to be done in time.
 
+use async_io::Timer;
+use futures_lite::future;
 use heathspur::{Span, Time};
+use std::future::Future;
+use std::io;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The module's time at the start of the process, so that what came before it has a time as well.
@@ -36,3 +41,12 @@
 pub(crate) fn since(stamp: u64, unix_now: u64) -> Span {
     Span(unix_now.saturating_sub(stamp))
 }
+
+/// Does the work, or fails once the time is over.
+pub(crate) async fn within<T>(time: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let late = async {
+        Timer::after(time).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    future::or(work, late).await
+}
--- a/crates/heathspurd/src/crowd.rs
+++ b/crates/heathspurd/src/crowd.rs
@@ -1,7 +1,6 @@
 //! The connections from balancers: how many there may be, and which one leaves when another needs the room.
 
-use crate::inbox::{Front, News};
-use crate::link::Bell;
+use crate::bell::Bell;
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
@@ -20,6 +19,8 @@
     /// By when they began to rest, the longest first.
     resting: RefCell<BTreeMap<u64, Resting>>,
     room: Bell,
+    /// Told of each that closes, once somebody waits for the last one.
+    closed: RefCell<Option<Sender<()>>>,
 }
 
 struct Resting {
@@ -30,7 +31,19 @@
 impl Crowd {
     pub fn new(most: usize) -> Crowd {
         let most = most.max(1);
-        Crowd { open: Cell::new(0), most, next: Cell::new(0), resting: RefCell::default(), room: Bell::new() }
+        Crowd {
+            open: Cell::new(0),
+            most,
+            next: Cell::new(0),
+            resting: RefCell::default(),
+            room: Bell::new(),
+            closed: RefCell::default(),
+        }
+    }
+
+    /// From now on each connection that closes is told there; a full channel holds what is to be known already.
+    pub fn tell_closed(&self, closed: Sender<()>) {
+        self.closed.replace(Some(closed));
     }
 
     pub fn open(&self) -> usize {
@@ -60,19 +73,18 @@
 
 /// One connection's place; given back when it is dropped.
 pub(crate) struct Place {
-    front: Rc<Front>,
+    crowd: Rc<Crowd>,
     asked: Cell<bool>,
     leave: Sender<()>,
     told: Receiver<()>,
 }
 
 impl Place {
-    pub fn take(front: &Rc<Front>) -> Option<Place> {
-        let crowd = &front.crowd;
+    pub fn take(crowd: &Rc<Crowd>) -> Option<Place> {
         (crowd.open.get() < crowd.most).then(|| {
             crowd.open.set(crowd.open.get() + 1);
             let (leave, told) = async_channel::bounded(1);
-            Place { front: front.clone(), asked: Cell::new(false), leave, told }
+            Place { crowd: crowd.clone(), asked: Cell::new(false), leave, told }
         })
     }
 
@@ -89,7 +101,7 @@
     pub async fn rest<T>(&self, work: impl Future<Output = T>) -> Option<T> {
         // What was told while it did not rest any more is void.
         let _ = self.told.try_recv();
-        let crowd = &self.front.crowd;
+        let crowd = &self.crowd;
         let number = crowd.next.get();
         crowd.next.set(number + 1);
         let resting = Resting { asked: self.asked.get(), leave: self.leave.clone() };
@@ -113,12 +125,10 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let crowd = &self.front.crowd;
-        crowd.open.set(crowd.open.get() - 1);
-        crowd.room.ring();
-        if self.front.shutting.is_closed() {
-            // The owner may be waiting for the last one; when its queue is full it looks again anyway.
-            let _ = self.front.news.try_send(News::Closed);
+        self.crowd.open.set(self.crowd.open.get() - 1);
+        self.crowd.room.ring();
+        if let Some(closed) = &*self.crowd.closed.borrow() {
+            let _ = closed.try_send(());
         }
     }
 }
--- /dev/null
+++ b/crates/heathspurd/src/front.rs
@@ -0,0 +1,137 @@
+//! The seam between fronts and the owner. A front speaks a protocol with callers: it hands in checked requests,
+//! each with its caller's way back, and says when a caller is gone; it gets one final answer to each. The owner
+//! knows no protocol.
+//!
+//! What a request costs in memory and connections is told with it (`held_kb`) and by its front's places among the
+//! connections ([`Crowd`]).
+
+use crate::crowd::Crowd;
+use crate::tape::Tap;
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use heathspur::{ClassId, RequestId, Span, TenantId};
+use heathspur_settings::Names;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// The name of a try on the wire: 16 hexadecimal digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Txn([u8; 16]);
+
+impl Txn {
+    pub fn read(text: &[u8]) -> Option<Txn> {
+        let digits: [u8; 16] = text.try_into().ok()?;
+        digits.iter().all(u8::is_ascii_hexdigit).then_some(Txn(digits))
+    }
+
+    pub fn as_str(&self) -> &str {
+        std::str::from_utf8(&self.0).unwrap_or("")
+    }
+}
+
+/// A request as it was read from a connection.
+#[derive(Debug)]
+pub(crate) struct Arrival {
+    pub id: RequestId,
+    pub txn: Txn,
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    /// Unix microseconds at which it came to the machine.
+    pub ingress: u64,
+    /// What tells its repeats: the idempotency key, or what a read is about.
+    pub key: Option<Bytes>,
+    pub row: bool,
+    pub retry: bool,
+    /// How long its caller waits, from `ingress` on, where that is told.
+    pub left: Option<Span>,
+    /// Its likely work in seconds, where that is told.
+    pub cost: Option<f64>,
+    pub held_kb: f64,
+    pub body: Bytes,
+    /// The way back to its connection; closed once the caller is gone.
+    pub reply: Sender<Answer>,
+}
+
+/// The final answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Answer {
+    /// The result of a run.
+    Served(Bytes),
+    /// This try never ran.
+    Refused { stay_away: Option<Span>, last: bool },
+    /// The run failed.
+    Failed,
+    /// It was given up.
+    GivenUp,
+    /// A request of that name is open already.
+    Conflict,
+    /// Its idempotency key came with another body before.
+    KeyReused,
+}
+
+/// What all fronts share with the owner.
+pub(crate) struct Desk {
+    pub names: Names,
+    /// Per class: whether its requests carry an idempotency key, and whether reads have a subject.
+    pub keyed: Vec<bool>,
+    next_id: Cell<u64>,
+    /// What health checks are told.
+    pub good: Cell<bool>,
+    /// Idle connections are closed after this.
+    pub idle: Cell<Span>,
+    /// The free value that answers and checks carry, once it is set.
+    pub free_value: Cell<Option<f64>>,
+    /// Every answer is the last on its connection.
+    pub leaving: Cell<bool>,
+    /// Closed, never sent on, once no new request is taken: idle connections close.
+    pub shutting: Receiver<()>,
+    /// Where traffic is recorded, if it is.
+    pub tap: Option<Rc<Tap>>,
+    /// The connections of all fronts.
+    pub crowd: Rc<Crowd>,
+}
+
+impl Desk {
+    pub fn new(
+        names: Names,
+        keyed: Vec<bool>,
+        idle: Span,
+        shutting: Receiver<()>,
+        tap: Option<Rc<Tap>>,
+        crowd: Rc<Crowd>,
+    ) -> Desk {
+        Desk {
+            names,
+            keyed,
+            next_id: Cell::new(1),
+            good: Cell::new(false),
+            idle: Cell::new(idle),
+            free_value: Cell::new(None),
+            leaving: Cell::new(false),
+            shutting,
+            tap,
+            crowd,
+        }
+    }
+
+    /// A number that no request had before.
+    pub fn next_id(&self) -> RequestId {
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        RequestId(id)
+    }
+
+    /// Ends once no new request is taken. The channel is closed then; nothing is ever sent on it.
+    pub async fn shut(&self) {
+        self.shutting.recv().await.unwrap_or(());
+    }
+}
+
+/// One front's ways to the owner. Each front has a queue of its own, and the owner takes from them by turns.
+#[derive(Clone)]
+pub(crate) struct Front {
+    pub desk: Rc<Desk>,
+    pub requests: Sender<Arrival>,
+    /// Requests whose callers are gone.
+    pub gone: Sender<RequestId>,
+}
--- a/crates/heathspurd/src/relay.rs
+++ b/crates/heathspurd/src/http1/answer.rs
@@ -1,11 +1,9 @@
-//! Stage five: the one final answer of each request, back to the connection it came on.
+//! The one final answer of each request, back to the connection it came on.
 
-use crate::inbox::{Answer, Front};
-use crate::link::within;
-use crate::owner::Owner;
+use crate::clock::within;
+use crate::front::{Answer, Desk};
 use crate::tape::Stream;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use heathspur::RequestId;
 use heathspur_wire::http::{self, Last};
 use std::io;
 use std::net::Shutdown;
@@ -17,19 +15,9 @@
 /// A peer that takes none of its answer for so long is left.
 const SLOW: Duration = Duration::from_secs(10);
 
-impl Owner {
-    /// Hands the answer to the request's connection, once; later ones go nowhere.
-    pub(crate) fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(reply) = self.table.get_mut(id).and_then(|entry| entry.reply.take()) {
-            // A closed connection has told us, or will, that its caller is gone.
-            let _ = reply.try_send(answer);
-        }
-    }
-}
-
 /// Writes an answer; an error means that the connection is of no more use.
-pub(crate) async fn write(stream: &Stream, front: &Front, answer: &Answer, last: Last) -> io::Result<()> {
-    let mut fields = free_value(front);
+pub(crate) async fn write(stream: &Stream, desk: &Desk, answer: &Answer, last: Last) -> io::Result<()> {
+    let mut fields = free_value(desk);
     let (status, body) = match answer {
         Answer::Served(body) => (200, &body[..]),
         Answer::Refused { stay_away, last: give_up } => {
@@ -52,16 +40,16 @@
 }
 
 /// Answers a health check.
-pub(crate) async fn health(stream: &Stream, front: &Front, last: Last) -> io::Result<()> {
+pub(crate) async fn health(stream: &Stream, desk: &Desk, last: Last) -> io::Result<()> {
     let mut out = Vec::new();
-    let status = if front.good.get() { 200 } else { 503 };
-    http::write_answer(&mut out, status, &free_value(front), last, b"");
+    let status = if desk.good.get() { 200 } else { 503 };
+    http::write_answer(&mut out, status, &free_value(desk), last, b"");
     put(stream, &out).await
 }
 
 /// The field that every answer and check carries once the value is set.
-fn free_value(front: &Front) -> Vec<(&'static str, f64)> {
-    front.free_value.get().map(|value| ("X-Capacity", value)).into_iter().collect()
+fn free_value(desk: &Desk) -> Vec<(&'static str, f64)> {
+    desk.free_value.get().map(|value| ("X-Capacity", value)).into_iter().collect()
 }
 
 /// Answers what is no request that can be taken, and ends its connection.
--- a/crates/heathspurd/src/inbox.rs
+++ b/crates/heathspurd/src/inbox.rs
@@ -1,78 +1,16 @@
-//! What reaches the owner, and what all connections share with it.
+//! What reaches the owner beside requests.
 
 use crate::config::Config;
-use crate::crowd::Crowd;
 use crate::interpreter;
 use crate::store;
-use crate::tape::Tap;
-use async_channel::{Receiver, Sender};
-use bytes::Bytes;
-use heathspur::{ClassId, RequestId, Span, TenantId};
-use heathspur_settings::Names;
-use std::cell::Cell;
-use std::rc::Rc;
+use heathspur::RequestId;
 
-/// The name of a try on the wire: 16 hexadecimal digits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct Txn([u8; 16]);
-
-impl Txn {
-    pub fn read(text: &[u8]) -> Option<Txn> {
-        let digits: [u8; 16] = text.try_into().ok()?;
-        digits.iter().all(u8::is_ascii_hexdigit).then_some(Txn(digits))
-    }
-
-    pub fn as_str(&self) -> &str {
-        std::str::from_utf8(&self.0).unwrap_or("")
-    }
-}
-
-/// A request as it was read from a connection.
-#[derive(Debug)]
-pub(crate) struct Arrival {
-    pub id: RequestId,
-    pub txn: Txn,
-    pub class: ClassId,
-    pub tenant: Option<TenantId>,
-    /// Unix microseconds at which it came to the machine.
-    pub ingress: u64,
-    /// What tells its repeats: the idempotency key, or what a read is about.
-    pub key: Option<Bytes>,
-    pub row: bool,
-    pub retry: bool,
-    /// How long its caller waits, from `ingress` on, where that is told.
-    pub left: Option<Span>,
-    /// Its likely work in seconds, where that is told.
-    pub cost: Option<f64>,
-    pub held_kb: f64,
-    pub body: Bytes,
-    /// The way back to its connection; closed once the caller is gone.
-    pub reply: Sender<Answer>,
-}
-
-/// The final answer to a request.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Answer {
-    /// The result of a run.
-    Served(Bytes),
-    /// This try never ran.
-    Refused { stay_away: Option<Span>, last: bool },
-    /// The run failed.
-    Failed,
-    /// It was given up.
-    GivenUp,
-    /// A request of that name is open already.
-    Conflict,
-    /// Its idempotency key came with another body before.
-    KeyReused,
-}
-
-/// What happened beside requests that were read.
+/// What happened.
 #[derive(Debug)]
 pub(crate) enum News {
     /// The caller of a request is gone.
     Gone(RequestId),
-    /// A connection has closed.
+    /// A connection has closed, and somebody waits for the last one.
     Closed,
     Interpreter(interpreter::News),
     Store(store::News),
@@ -82,26 +20,26 @@
     Reload(Box<Config>),
 }
 
-/// What connections see of the owner, and give it.
-pub(crate) struct Front {
-    pub requests: Sender<Arrival>,
-    pub news: Sender<News>,
-    pub names: Names,
-    /// Per class: whether its requests carry an idempotency key, and whether reads have a subject.
-    pub keyed: Vec<bool>,
-    pub next_id: Cell<u64>,
-    /// What health checks are told.
-    pub good: Cell<bool>,
-    /// Idle connections are closed after this.
-    pub idle: Cell<Span>,
-    /// The free value that answers and checks carry, once it is set.
-    pub free_value: Cell<Option<f64>>,
-    /// Every answer is the last on its connection.
-    pub leaving: Cell<bool>,
-    /// Closed, never sent on, once no new request is taken: idle connections close.
-    pub shutting: Receiver<()>,
-    /// Where traffic is recorded, if it is.
-    pub tap: Option<Rc<Tap>>,
-    /// The connections.
-    pub crowd: Crowd,
+impl From<interpreter::News> for News {
+    fn from(heard: interpreter::News) -> News {
+        News::Interpreter(heard)
+    }
+}
+
+impl From<RequestId> for News {
+    fn from(gone: RequestId) -> News {
+        News::Gone(gone)
+    }
+}
+
+impl From<()> for News {
+    fn from((): ()) -> News {
+        News::Closed
+    }
+}
+
+impl From<store::News> for News {
+    fn from(called: store::News) -> News {
+        News::Store(called)
+    }
 }
--- a/crates/heathspurd/src/interpreter.rs
+++ b/crates/heathspurd/src/interpreter.rs
@@ -1,7 +1,8 @@
 //! The link to the interpreter: held open, made again when it breaks, resumed at the last notice read.
 
-use crate::inbox::{self, Txn};
-use crate::link::{connect, Bell, Inflow, Target};
+use crate::bell::Bell;
+use crate::front::Txn;
+use crate::link::{connect, Inflow, Target};
 use crate::tape::{Stream, Tap};
 use async_channel::Sender;
 use async_io::Timer;
@@ -49,10 +50,10 @@
 }
 
 /// Keeps the link up for ever, wherever the interpreter is found.
-pub(crate) async fn keep(
+pub(crate) async fn keep<N: From<News>>(
     target: Rc<Target>,
     link: Rc<Link>,
-    news: Sender<inbox::News>,
+    news: Sender<N>,
     tap: Option<Rc<Tap>>,
 ) {
     let (mut last, mut wait) = (0, SHORTEST);
@@ -71,7 +72,7 @@
                 if last > before {
                     wait = SHORTEST;
                 }
-                if news.send(inbox::News::Interpreter(News::Down)).await.is_err() {
+                if news.send(News::Down.into()).await.is_err() {
                     return;
                 }
             }
@@ -90,7 +91,7 @@
 }
 
 /// Carries one connection to its end and says why it ended.
-async fn talk(stream: &Stream, link: &Link, news: &Sender<inbox::News>, last: &mut u64) -> String {
+async fn talk<N: From<News>>(stream: &Stream, link: &Link, news: &Sender<N>, last: &mut u64) -> String {
     let mut hello = Vec::new();
     wire::write(&mut hello, Command::Connect(*last));
     {
@@ -119,7 +120,7 @@
     }
 }
 
-async fn listen(stream: &Stream, news: &Sender<inbox::News>, last: &mut u64) -> String {
+async fn listen<N: From<News>>(stream: &Stream, news: &Sender<N>, last: &mut u64) -> String {
     let mut inflow = Inflow::new();
     loop {
         if let Err(e) = inflow.fill(stream).await {
@@ -133,7 +134,7 @@
                 Err(e) => return format!("a line makes no sense: {e}"),
             };
             if let Some(heard) = heard {
-                if news.send(inbox::News::Interpreter(heard)).await.is_err() {
+                if news.send(heard.into()).await.is_err() {
                     return "the server has ended".to_string();
                 }
             }
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -1,32 +1,40 @@
 //! heathspur's decisions on sockets: one server of a fleet, as a library that others can embed.
 //!
-//! A request passes `take_in` (read), `admit` (known and linked), `route` (what the module wants done),
-//! `send` (to interpreter and store), `relay` (the answer) and `book` (given back). One task, [`owner`],
-//! owns the module and all requests; connections and links only carry bytes to it and from it.
+//! A request comes through a front (`http1`: read and checked), `admit` (known and linked), `route` (what the module
+//! wants done), `send` (to interpreter and store) and `book` (answered, given back). One task (`work`) owns the module
+//! and all requests; fronts and links only carry bytes to it and from it, and the owner knows no protocol.
 #![forbid(unsafe_code)]
 
 pub mod cli;
 pub mod config;
 
+mod accept;
 mod admit;
 mod announce;
+mod bell;
 mod book;
 mod clock;
 mod crowd;
+mod front;
+mod hear;
+mod http1;
 mod inbox;
+mod intake;
 mod interpreter;
 mod keys;
 mod link;
 mod log;
 mod owner;
 mod record;
-mod relay;
+mod request;
 mod route;
 mod send;
+mod serve;
 mod signals;
 mod store;
-mod take_in;
+mod table;
 mod tape;
+mod work;
 
 use async_executor::LocalExecutor;
 use config::Config;
@@ -102,7 +110,7 @@
     let tap = recording.as_ref().map(|recording| recording.tap.clone());
     let executor = Rc::new(LocalExecutor::new());
     let served =
-        async_io::block_on(executor.run(owner::serve(executor.clone(), config, listener, notice, tap)));
+        async_io::block_on(executor.run(serve::serve(executor.clone(), config, listener, notice, tap)));
     // What streams are left hold the tap.
     drop(executor);
     if let Some(recording) = recording {
--- a/crates/heathspurd/src/link.rs
+++ b/crates/heathspurd/src/link.rs
@@ -1,12 +1,12 @@
-//! What the links have in common: a bell that wakes them, connections that come up in time, bytes read.
+//! What the links have in common: connections that come up in time, bytes read.
 
+use crate::bell::Bell;
+use crate::clock::within;
 use crate::tape::{Stream, Tap};
-use async_channel::{Receiver, Sender};
-use async_io::{Async, Timer};
-use futures_lite::{future, AsyncReadExt};
+use async_io::Async;
+use futures_lite::AsyncReadExt;
 use heathspur_record::recorder::Leg;
 use std::cell::Cell;
-use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -16,26 +16,6 @@
 const CONNECT: Duration = Duration::from_secs(1);
 const CHUNK: usize = 16 * 1024;
 
-/// Rung by the owner, heard by a link. Rings that nobody has heard yet count as one.
-pub(crate) struct Bell(Sender<()>, Receiver<()>);
-
-impl Bell {
-    pub fn new() -> Bell {
-        let (ring, rung) = async_channel::bounded(1);
-        Bell(ring, rung)
-    }
-
-    pub fn ring(&self) {
-        // A full channel holds a ring already.
-        let _ = self.0.try_send(());
-    }
-
-    pub async fn rung(&self) {
-        // It holds its own sender, so the channel is never closed.
-        let _ = self.1.recv().await;
-    }
-}
-
 /// Where a peer is found; a new configuration may move it.
 pub(crate) struct Target {
     address: Cell<SocketAddr>,
@@ -65,15 +45,6 @@
     }
 }
 
-/// Does the work, or fails once the time is over.
-pub(crate) async fn within<T>(time: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
-    let late = async {
-        Timer::after(time).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    future::or(work, late).await
-}
-
 /// A new connection, recorded where links are.
 pub(crate) async fn connect(address: SocketAddr, recorded: Option<(&Rc<Tap>, Leg)>) -> io::Result<Stream> {
     let stream = within(CONNECT, Async::<TcpStream>::connect(address)).await?;
--- a/crates/heathspurd/src/route.rs
+++ b/crates/heathspurd/src/route.rs
@@ -1,10 +1,10 @@
 //! Stage three: each action of the module goes to where it is carried out.
 
-use crate::book::{Told, Work};
 use crate::clock;
-use crate::inbox::Answer;
+use crate::front::Answer;
 use crate::keys::Attached;
 use crate::owner::Owner;
+use crate::table::{Told, Work};
 use heathspur::{Action, RequestId, Span};
 use std::cmp::Reverse;
 use tracing::info;
@@ -32,13 +32,13 @@
             Action::Forget(id) => self.keys.forget(id),
             Action::Reuse(id) => self.reuse(id),
             Action::Health { good, .. } => {
-                self.front.good.set(good);
+                self.desk.good.set(good);
                 self.report.set(good);
             }
-            Action::Say(value) => self.front.free_value.set(Some(value)),
+            Action::Say(value) => self.desk.free_value.set(Some(value)),
             Action::CloseIdle(after) => {
                 let all = after == Span(0);
-                self.front.idle.set(if all { self.settings.idle } else { after });
+                self.desk.idle.set(if all { self.settings.idle } else { after });
             }
             Action::Timer { after, token } => {
                 self.timers.push(Reverse((self.now + after, token)));
--- a/crates/heathspurd/src/send.rs
+++ b/crates/heathspurd/src/send.rs
@@ -1,8 +1,8 @@
 //! Stage four: what the interpreter and the store are told of a request.
 
-use crate::book::{Halting, Need, Told, Work};
 use crate::owner::Owner;
 use crate::store::{Call, CallId};
+use crate::table::{Halting, Need, Told, Work};
 use heathspur::{Effect, RequestId, Span};
 use heathspur_wire::interpreter::Command;
 
@@ -67,7 +67,7 @@
         let task = entry.txn.as_str();
         self.interpreter.send(match told {
             Told::Apply => {
-                Command::Apply { task, class: &self.front.names.classes[entry.class.0], body: &entry.body }
+                Command::Apply { task, class: &self.desk.names.classes[entry.class.0], body: &entry.body }
             }
             Told::Continue => Command::Continue(task),
             Told::Resolve(body) => Command::Resolve { task, body },
--- /dev/null
+++ b/crates/heathspurd/src/serve.rs
@@ -0,0 +1,125 @@
+//! Starts all tasks of a server and serves until it has left.
+
+use crate::accept::accept;
+use crate::announce;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::crowd::Crowd;
+use crate::front::{Desk, Front};
+use crate::http1;
+use crate::inbox::News;
+use crate::intake::Intake;
+use crate::interpreter;
+use crate::keys::Keys;
+use crate::link::Target;
+use crate::owner::{LinkState, Owner, Targets};
+use crate::signals;
+use crate::store;
+use crate::table::Table;
+use crate::tape::Tap;
+use crate::work::{NEWS, PRUNE};
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use async_signal::Signals;
+use heathspur::Effect;
+use std::collections::{BTreeSet, BinaryHeap, VecDeque};
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use tracing::info;
+
+/// Requests of each front that may wait to be taken in.
+const REQUESTS: usize = 256;
+/// Callers of each front that are gone and may wait to be told.
+const GONE: usize = 256;
+/// Descriptors kept for the links, the log and what the standard library opens.
+const SPARE: usize = 20;
+/// The part of the descriptors that calls may take.
+const CALLS_PART: usize = 8;
+/// Entries in the table of keys at most, and the part of the memory for their results.
+const KEYS: usize = 16 * 1024;
+const RESULTS_PART: usize = 4;
+
+/// Hands on what comes in one queue as news, in order.
+async fn hand_on<T: Into<News>>(from: Receiver<T>, news: Sender<News>) {
+    while let Ok(item) = from.recv().await {
+        if news.send(item.into()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Starts all tasks and serves until the server has left.
+pub(crate) async fn serve(
+    executor: Rc<LocalExecutor<'static>>,
+    config: Config,
+    listener: TcpListener,
+    notice: Signals,
+    tap: Option<Rc<Tap>>,
+) -> io::Result<()> {
+    let (news, new_news) = async_channel::bounded(NEWS);
+    let (shutter, shutting) = async_channel::bounded(1);
+    let (closed, closings) = async_channel::bounded(1);
+    let settings = config.settings.clone();
+    let desk = Rc::new(Desk::new(
+        config.names.clone(),
+        settings.classes.iter().map(|c| c.effect == Effect::Keyed).collect(),
+        settings.idle,
+        shutting,
+        tap.clone(),
+        Rc::new(Crowd::new(config.sockets.saturating_sub(SPARE + config.sockets / CALLS_PART))),
+    ));
+    let interpreter = interpreter::Link::new();
+    let places = config.sockets / CALLS_PART;
+    let store = store::Link::new(executor.clone(), config.store, places, news.clone(), tap.clone());
+    let targets =
+        Targets { vm: Rc::new(Target::new(config.vm)), announce: Rc::new(Target::new(config.announce)) };
+    let report = announce::Report::new();
+    let mut queues = Vec::new();
+    let mut front = || {
+        let ((requests, queue), (gone, going)) =
+            (async_channel::bounded(REQUESTS), async_channel::bounded(GONE));
+        queues.push(queue);
+        executor.spawn(hand_on(going, news.clone())).detach();
+        Front { desk: desk.clone(), requests, gone }
+    };
+    let address = listener.local_addr()?;
+    info!(%address, "listening on {address}");
+    let spoken = http1::serve(executor.clone(), Rc::new(front()));
+    executor.spawn(accept(Async::new(listener)?, desk.clone(), spoken)).detach();
+    executor.spawn(interpreter::keep(targets.vm.clone(), interpreter.clone(), news.clone(), tap)).detach();
+    executor.spawn(announce::keep(targets.announce.clone(), config.name.clone(), report.clone())).detach();
+    executor.spawn(hand_on(closings, news.clone())).detach();
+    executor.spawn(signals::hear(notice, config.clone(), news)).detach();
+    let clock = Clock::start();
+    let late = settings.classes.iter().map(|c| c.give_up).max().unwrap_or_default();
+    let owner = Owner {
+        settings,
+        desk,
+        report,
+        interpreter,
+        targets,
+        link: LinkState::Down,
+        store,
+        table: Table::default(),
+        keys: Keys::new(KEYS, config.memory / RESULTS_PART, late),
+        timers: BinaryHeap::new(),
+        call_timers: BTreeSet::new(),
+        next_call: 1,
+        events: Vec::new(),
+        now: clock.now(),
+        clock,
+        seed: config.seed,
+        stop: config.stop,
+        module: None,
+        due: VecDeque::new(),
+        next_nonce: 1,
+        prune_at: clock.now() + PRUNE,
+        leaving: None,
+        shutter,
+        closed,
+    };
+    owner.work(Intake::new(queues), new_news).await;
+    Ok(())
+}
--- a/crates/heathspurd/src/store.rs
+++ b/crates/heathspurd/src/store.rs
@@ -2,7 +2,7 @@
 //! breaks one connection, costs that call alone. Connections that brought a whole reply and nothing else are
 //! used again for a moment; giving a call up closes its connection.
 
-use crate::inbox::{self, Txn};
+use crate::front::Txn;
 use crate::link::{connect, Inflow};
 use crate::tape::{Stream, Tap};
 use async_channel::{Receiver, Sender};
@@ -76,26 +76,26 @@
 
 /// The owner's end of the link. Calls in hand are bounded by the requests that stand at calls, and those that
 /// have a connection by the places.
-pub(crate) struct Link {
+pub(crate) struct Link<N> {
     executor: Rc<LocalExecutor<'static>>,
     address: Cell<Option<SocketAddr>>,
     idle: RefCell<VecDeque<Line>>,
     open: RefCell<HashMap<CallId, Open>>,
     give_back: Sender<()>,
     places: Receiver<()>,
-    news: Sender<inbox::News>,
+    news: Sender<N>,
     tap: Option<Rc<Tap>>,
 }
 
-impl Link {
+impl<N: From<News> + 'static> Link<N> {
     /// A link that holds so many connections at most.
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         address: Option<SocketAddr>,
         most: usize,
-        news: Sender<inbox::News>,
+        news: Sender<N>,
         tap: Option<Rc<Tap>>,
-    ) -> Rc<Link> {
+    ) -> Rc<Link<N>> {
         let (give_back, places) = async_channel::bounded(most.max(1));
         while give_back.try_send(()).is_ok() {}
         Rc::new(Link {
@@ -126,7 +126,7 @@
                 open.task.detach();
             }
             // It fails once the server has ended.
-            let _ = link.news.send(inbox::News::Store(News { id, call: number, outcome, body })).await;
+            let _ = link.news.send(News { id, call: number, outcome, body }.into()).await;
         });
         self.open.borrow_mut().insert(number, Open { task, written });
     }
@@ -263,7 +263,7 @@
     fn a_call_that_was_never_written_is_proven_not_to_have_run() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let executor = Rc::new(LocalExecutor::new());
-        let (news, _heard) = async_channel::bounded(4);
+        let (news, _heard) = async_channel::bounded::<News>(4);
         let link = Link::new(executor.clone(), Some(listener.local_addr().unwrap()), 4, news, None);
         let txn = Txn::read(b"9b1f03aa5c7e2d41").unwrap();
         let call = |n| Call {
--- /dev/null
+++ b/crates/heathspurd/src/work.rs
@@ -0,0 +1,210 @@
+//! The one task that owns the module and all requests. It takes in what has arrived as one batch, lets the
+//! module decide once, and carries the actions out in order. It never waits for a peer.
+
+use crate::clock;
+use crate::config::Config;
+use crate::front::Arrival;
+use crate::inbox::News;
+use crate::intake::Intake;
+use crate::owner::{Due, LinkState, Owner};
+use crate::table::Work;
+use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::future;
+use heathspur::{Action, Event, Gauges, Server, Span, Time};
+use std::cmp::Reverse;
+use std::time::Duration;
+use tracing::info;
+
+/// Requests, and news of other kinds, that are taken in at once.
+const REQUESTS_AT_ONCE: usize = 64;
+pub(crate) const NEWS: usize = 1024;
+/// A timer of the module waits so long for the gauges.
+const GAUGES: Span = Span(10_000);
+pub(crate) const PRUNE: Span = Span(1_000_000);
+/// The process ends by itself so long before it is killed, and its fronts are shut so long before that.
+const EARLY: Duration = Duration::from_millis(100);
+const LEAVE: Duration = Duration::from_millis(300);
+
+/// What wakes the owner.
+enum Woken {
+    Request(Arrival),
+    News(News),
+    Time,
+}
+
+impl Owner {
+    pub(crate) async fn work(mut self, mut requests: Intake<Arrival>, news: Receiver<News>) {
+        let mut actions = Vec::new();
+        loop {
+            let woken = self.wait(&mut requests, &news).await;
+            // What has arrived comes before a timer that is late: let it be read first.
+            future::yield_now().await;
+            self.now = self.clock.now();
+            match woken {
+                Woken::Request(arrival) => self.take_request(arrival),
+                Woken::News(item) => self.take_news(item),
+                Woken::Time => {}
+            }
+            // News before requests: results, gauges and notices are few and must not wait behind a flood.
+            for _ in 0..NEWS {
+                let Ok(item) = news.try_recv() else { break };
+                self.take_news(item);
+            }
+            for _ in 0..REQUESTS_AT_ONCE {
+                let Some(arrival) = requests.try_next() else { break };
+                self.take_request(arrival);
+            }
+            self.take_time();
+            self.decide(&mut actions);
+            if self.has_left() {
+                return;
+            }
+        }
+    }
+
+    async fn wait(&self, requests: &mut Intake<Arrival>, news: &Receiver<News>) -> Woken {
+        if !self.events.is_empty() {
+            return Woken::Time;
+        }
+        let request = async { Woken::Request(requests.next().await) };
+        let item = async {
+            match news.recv().await {
+                Ok(item) => Woken::News(item),
+                Err(_) => future::pending().await,
+            }
+        };
+        let time = async {
+            match self.next_time() {
+                Some(at) => Timer::at(self.clock.instant(at)).await,
+                None => future::pending().await,
+            };
+            Woken::Time
+        };
+        future::or(item, future::or(request, time)).await
+    }
+
+    fn next_time(&self) -> Option<Time> {
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        let call = self.call_timers.first().map(|(at, _)| *at);
+        let gauges = self.due.front().map(|due| due.until);
+        let leave = self.leaving.map(|(shut, end)| if self.desk.shutting.is_closed() { end } else { shut });
+        let resume = match self.link {
+            LinkState::Resuming(_, until) => Some(until),
+            LinkState::Up | LinkState::Down => None,
+        };
+        [timer, call, gauges, leave, resume, Some(self.prune_at)].into_iter().flatten().min()
+    }
+
+    /// The module begins with the interpreter's start: from then on the machine warms up.
+    pub(crate) fn begin(&mut self, cold: bool, started: Time) {
+        if self.module.is_some() {
+            return;
+        }
+        self.settings.cold = cold;
+        let mut module = Server::new(self.settings.clone(), self.seed);
+        let mut actions = Vec::new();
+        module.decide(started, &[], &mut actions);
+        self.module = Some(module);
+        self.carry_out(&mut actions);
+    }
+
+    fn decide(&mut self, actions: &mut Vec<Action>) {
+        if self.events.is_empty() {
+            return;
+        }
+        let Some(module) = &mut self.module else { return };
+        module.decide(self.now, &self.events, actions);
+        self.events.clear();
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: &mut Vec<Action>) {
+        for action in actions.drain(..) {
+            self.route(action);
+        }
+    }
+
+    fn take_request(&mut self, arrival: Arrival) {
+        self.begin(self.settings.cold, self.now);
+        self.admit(arrival);
+    }
+
+    fn take_news(&mut self, news: News) {
+        match news {
+            News::Gone(id) => self.gone(id),
+            News::Closed => {}
+            News::Interpreter(heard) => self.hear(heard),
+            News::Store(called) => self.called(called),
+            News::Drain => self.leave(),
+            News::Reload(config) => self.move_to(&config),
+        }
+    }
+
+    /// The peers are found elsewhere from now on. What else the file says holds from the next start.
+    fn move_to(&mut self, config: &Config) {
+        info!("peers at {}, {} and {:?}", config.vm, config.announce, config.store);
+        self.targets.vm.set(config.vm);
+        self.targets.announce.set(config.announce);
+        self.store.set(config.store);
+    }
+
+    /// What is due by the clock.
+    fn take_time(&mut self) {
+        while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= self.now) {
+            let Some(Reverse((_, token))) = self.timers.pop() else { break };
+            if self.link.is_up() {
+                let nonce = self.ask();
+                self.due.push_back(Due { nonce, token, until: self.now + GAUGES });
+            } else {
+                self.events.push(Event::Timer { token, gauges: Gauges::default() });
+            }
+        }
+        while self.due.front().is_some_and(|due| due.until <= self.now) {
+            let Some(due) = self.due.pop_front() else { break };
+            self.events.push(Event::Timer { token: due.token, gauges: Gauges::default() });
+        }
+        while self.call_timers.first().is_some_and(|(at, _)| *at <= self.now) {
+            let Some((_, id)) = self.call_timers.pop_first() else { break };
+            let Some(entry) = self.table.get(id) else { continue };
+            if let Work::Calling { call, .. } = entry.work {
+                let outcome = self.store.give_up(call);
+                self.call_ended(id, outcome);
+            }
+        }
+        if matches!(self.link, LinkState::Resuming(_, until) if until <= self.now) {
+            self.resume();
+        }
+        if self.prune_at <= self.now {
+            self.prune_at = self.now + PRUNE;
+            self.keys.prune(clock::unix());
+            self.store.prune();
+        }
+    }
+
+    /// The notice to drain.
+    fn leave(&mut self) {
+        if self.leaving.is_some() {
+            return;
+        }
+        self.begin(self.settings.cold, self.now);
+        let span = |d: Duration| Span(d.as_micros() as u64);
+        let stop = self.stop.saturating_sub(EARLY);
+        let shut = span(stop.saturating_sub(LEAVE)).min(self.settings.drain_grace);
+        // The last answers are given before the stop that the module is told; they are on their way then.
+        self.leaving = Some((self.now + shut, self.now + span(stop + EARLY / 2)));
+        self.desk.leaving.set(true);
+        self.desk.crowd.tell_closed(self.closed.clone());
+        self.events.push(Event::Drain(span(stop)));
+    }
+
+    /// Shuts the front when nothing new would be run any more; true once all is answered, or nothing can be.
+    fn has_left(&mut self) -> bool {
+        let Some((shut, end)) = self.leaving else { return false };
+        if self.now >= shut {
+            self.shutter.close();
+        }
+        let owed = || self.table.find(|entry| entry.reply.is_some()).len();
+        self.desk.shutting.is_closed() && (self.desk.crowd.open() == 0 && owed() == 0 || self.now >= end)
+    }
+}
