Serve HTTP/2 on a further port, with streams, limits and the drain decided without I/O

Newer terminals want HTTP/2 without TLS (prior knowledge). The operator's file switches it on; without it nothing listens.

heathspur-streams decides, without I/O and clocks: the life of a stream (each event in each state has one outcome, by a table in a test), shares of streams and windows (adapted to what the server takes in, fair once three quarters are taken), one ledger of memory for answers that nobody reads over all fronts (who holds most gives way), a meter that prices frames as they come in, and the drain in two steps.

The shell (http2/) moves bytes: h2 over a thin adapter, a task a connection and a stream. A reset counts as the caller gone; REFUSED_STREAM only for what was never handed in; 503 says what HTTP/1.1 says.

Tested with a caller that writes frames (17 process tests): single bytes, repeats across streams, connections and protocols, limits, stalled readers, a budget of memory, floods of seven kinds, rapid reset, header bombs, broken frames, drains with and without the round trip, 200 stalled streams at a stop, a flood beside the other front.

--- a/crates/heathspur-operator/src/lib.rs
+++ b/crates/heathspur-operator/src/lib.rs
@@ -5,9 +5,12 @@
 //! JSON and are not read here.
 #![forbid(unsafe_code)]
 
+mod http2;
 mod locate;
 pub mod units;
 
+pub use http2::{Http2, Memory, Patience, Request, Streams};
+
 use locate::Places;
 use serde::Deserialize;
 use std::fmt;
@@ -33,6 +36,9 @@
     /// Recording of traffic to capture files, where it is on.
     #[serde(default)]
     pub record: Option<Record>,
+    /// The port for HTTP/2, where it is on.
+    #[serde(default)]
+    pub http2: Option<Http2>,
 }
 
 /// The program's own log.
@@ -263,6 +269,9 @@
         if !(1..=10_000).contains(&self.log.lines_per_second) {
             return mistake("log.@lines-per-second", "1 to 10000 is expected".into());
         }
+        if let Some(http2) = &self.http2 {
+            http2.check(memory)?;
+        }
         let Some(record) = &self.record else { return Ok(()) };
         if record.directory.as_os_str().is_empty() {
             return mistake("record.@directory", "a folder is expected".into());
--- a/crates/heathspur-operator/tests/read.rs
+++ b/crates/heathspur-operator/tests/read.rs
@@ -19,7 +19,7 @@
     format!("<?xml version=\"1.0\"?>\n<operator xmlns=\"urn:heathspur:operator:1\">\n{inner}\n</operator>\n")
 }
 
-const VALID: [&str; 9] = [
+const VALID: [&str; 13] = [
     "",
     "<!-- nothing -->",
     "<log/>",
@@ -28,11 +28,15 @@
     "<record directory=\"/x\" contents=\"full\" links=\"true\"/><log/>",
     "<record directory=\"a b\" links=\"0\"><files size=\"64KiB\" age=\"1 s\" keep=\"1\"/></record>",
     "<record directory=\"/x\"><budget memory=\"1 GiB\"/><mask header=\"X-Txn-Key\"/><mask header=\"a.b~\"/></record>",
+    "<http2 listen=\"127.0.0.1:0\"/>",
+    "<http2 listen=\"[::1]:8443\"><streams/><request/><memory/><patience/></http2>",
+    "<http2 listen=\"10.0.0.1:65535\"><streams connection=\"1\" all=\"1\"/><patience stalled=\"100 ms\" round-trip=\"10 s\"/></http2>",
+    "<http2 listen=\"127.0.0.1:1\"><request header-list=\"64 KiB\" body=\"1 KiB\" whole=\"1min\"/><memory answers=\"64 KiB\" connection=\"64 KiB\" stream=\"1 MiB\" receive=\"1 GiB\"/></http2>",
     "<log></log>\n<record directory=\"&lt;\"><files/><budget/></record>",
 ];
 
 /// What, and the line and words that the error must have.
-const INVALID: [(&str, &str); 22] = [
+const INVALID: [(&str, &str); 30] = [
     ("<lgo/>", "o.xml:3: lgo: unknown element"),
     ("<log/><log/>", "o.xml:3: log: duplicate"),
     ("\n<log\n  colour=\"red\"/>", "o.xml:5: log@colour: unknown element or attribute `colour`"),
@@ -60,11 +64,25 @@
         "o.xml:4: mask@header",
     ),
     ("<record directory=\"/x\"><mask header=\"a\">x</mask></record>", "o.xml:3: mask: unknown text"),
+    ("<http2/>", "o.xml:3: http2: missing field `listen`"),
+    ("<http2 listen=\"8443\"/>", "o.xml:3: http2@listen"),
+    ("<http2 listen=\"localhost:8443\"/>", "o.xml:3: http2@listen"),
+    ("<http2 listen=\"127.0.0.1:1\"><streams\n all=\"0\"/></http2>", "o.xml:4: streams@all: 1 to 10000"),
+    (
+        "<http2 listen=\"127.0.0.1:1\"><streams connection=\"10001\"/></http2>",
+        "streams@connection: 1 to 10000",
+    ),
+    ("<http2 listen=\"127.0.0.1:1\"><request body=\"2\"/></http2>", "request@body: `2` where a size"),
+    (
+        "<http2 listen=\"127.0.0.1:1\"><patience\n stalled=\"soon\"/></http2>",
+        "o.xml:4: patience@stalled: `soon`",
+    ),
+    ("<http2 listen=\"127.0.0.1:1\">\n<tls/></http2>", "o.xml:4: tls: unknown element"),
     ("<record directory=\"/x\">\n<files><more/></files></record>", "o.xml:4: more: unknown element"),
 ];
 
 /// Wrong in a way that a schema can't tell, or that is a matter of bounds on values with units.
-const OUT_OF_BOUNDS: [(&str, &str); 6] = [
+const OUT_OF_BOUNDS: [(&str, &str); 13] = [
     ("<record directory=\"/x\" links=\"true\"/>", "o.xml:3: record@links: contents=\"full\" is expected"),
     (
         "<record directory=\"/x\"><files size=\"63 KiB\"/></record>",
@@ -73,6 +91,25 @@
     ("<record directory=\"/x\"><files size=\"17 GiB\"/></record>", "files@size: 17 GiB"),
     ("<record directory=\"/x\"><files age=\"999 ms\"/></record>", "files@age: 1 s to 24 h"),
     ("<record directory=\"/x\"><files age=\"25 h\"/></record>", "files@age: 1 s to 24 h"),
+    (
+        "<http2 listen=\"127.0.0.1:1\">\n<streams connection=\"9\" all=\"8\"/></http2>",
+        "o.xml:4: streams@connection: 8 at most is expected, as many as of all",
+    ),
+    ("<http2 listen=\"127.0.0.1:1\"><request body=\"65 KiB\"/></http2>", "request@body: 65 KiB where 1 KiB"),
+    (
+        "<http2 listen=\"127.0.0.1:1\"><request header-list=\"1 B\"/></http2>",
+        "request@header-list: 1 B where",
+    ),
+    ("<http2 listen=\"127.0.0.1:1\"><request whole=\"61 s\"/></http2>", "request@whole: 100 ms to 60 s"),
+    ("<http2 listen=\"127.0.0.1:1\"><memory stream=\"2 MiB\"/></http2>", "memory@stream: 2 MiB where 16 KiB"),
+    (
+        "<http2 listen=\"127.0.0.1:1\"><memory answers=\"64 KiB\"/></http2>",
+        "memory: 512 KiB of one connection, where 64 KiB at most is expected",
+    ),
+    (
+        "<http2 listen=\"127.0.0.1:1\"><patience round-trip=\"1 ms\"/></http2>",
+        "patience@round-trip: 10 ms to",
+    ),
     ("<record directory=\"/x\"><budget memory=\"1 KiB\"/></record>", "o.xml:3: budget@memory: 1 KiB where"),
 ];
 
@@ -124,7 +161,7 @@
 fn the_commented_example_is_valid_and_switches_nothing_on() {
     let text = include_str!("../../../deploy/operator.xml");
     let operator = read(text).unwrap();
-    assert_eq!(operator.record, None);
+    assert_eq!((operator.record, operator.http2), (None, None));
     assert_eq!(operator.log, Default::default());
     assert!(schema_takes(text));
     // What stands in its comments is valid as well, and has the defaults that the schema tells.
@@ -135,6 +172,26 @@
     let record = read(&text).unwrap().record.unwrap();
     assert_eq!((record.files, record.budget), Default::default());
     assert_eq!((record.contents, record.links, record.mask.len()), (Contents::Headers, false, 1));
+    let shown = &shown_in(include_str!("../../../deploy/operator.xml"), "http2");
+    assert!(schema_takes(&file(shown)));
+    let http2 = read(&file(shown)).unwrap().http2.unwrap();
+    let bare = read(&file("<http2 listen=\"127.0.0.1:8443\"/>")).unwrap().http2.unwrap();
+    assert_eq!(http2, bare);
+}
+
+/// An element as it stands in a comment.
+fn shown_in(text: &str, name: &str) -> String {
+    let (start, end) = (format!("<{name} "), format!("</{name}>"));
+    text[text.find(&start).unwrap()..text.find(&end).unwrap() + end.len()].to_string()
+}
+
+#[test]
+fn what_the_port_for_http2_may_hold_is_held_against_the_memory_of_the_process() {
+    let text = file("<http2 listen=\"127.0.0.1:1\">\n<memory answers=\"20 MiB\"/></http2>");
+    let parse = |memory| Operator::parse(&text, Path::new("o.xml"), Some(memory)).map_err(|e| e.to_string());
+    assert!(parse(64 << 20).is_ok());
+    let said = parse(32 << 20).unwrap_err();
+    assert!(said.contains("o.xml:4: memory: 27 MiB in all") && said.contains("16 MiB at most"), "{said}");
 }
 
 #[test]
--- /dev/null
+++ b/crates/heathspur-rig/src/http2.rs
@@ -0,0 +1,315 @@
+//! A caller that writes HTTP/2 frame by frame: well-mannered or not, as a test asks for.
+
+use crate::scripted::{unix_ms, Fields, NEVER};
+use fluke_hpack::{Decoder, Encoder};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+pub const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+
+pub const DATA: u8 = 0;
+pub const HEADERS: u8 = 1;
+pub const PRIORITY: u8 = 2;
+pub const RST_STREAM: u8 = 3;
+pub const SETTINGS: u8 = 4;
+pub const PING: u8 = 6;
+pub const GOAWAY: u8 = 7;
+pub const WINDOW_UPDATE: u8 = 8;
+pub const CONTINUATION: u8 = 9;
+
+pub const END_STREAM: u8 = 1;
+pub const ACK: u8 = 1;
+pub const END_HEADERS: u8 = 4;
+
+pub const NO_ERROR: u32 = 0;
+pub const REFUSED_STREAM: u32 = 7;
+pub const CANCEL: u32 = 8;
+pub const ENHANCE_YOUR_CALM: u32 = 11;
+
+/// Settings by number.
+pub const INITIAL_WINDOW: u16 = 4;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Frame {
+    pub kind: u8,
+    pub flags: u8,
+    pub stream: u32,
+    pub payload: Vec<u8>,
+}
+
+/// How a stream ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Answer(u16, Fields, Vec<u8>),
+    Reset(u32),
+    /// The connection ended first; with what GOAWAY said last, if one came.
+    Closed,
+}
+
+pub fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let [_, a, b, c] = (payload.len() as u32).to_be_bytes();
+    let [d, e, f, g] = stream.to_be_bytes();
+    [&[a, b, c, kind, flags, d, e, f, g], payload].concat()
+}
+
+pub fn settings(values: &[(u16, u32)]) -> Vec<u8> {
+    let payload: Vec<u8> = values
+        .iter()
+        .flat_map(|(id, value)| [&id.to_be_bytes()[..], &value.to_be_bytes()].concat())
+        .collect();
+    frame(SETTINGS, 0, 0, &payload)
+}
+
+#[derive(Default)]
+struct Coming {
+    fields: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+/// One connection.
+pub struct Caller {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    encoder: Encoder<'static>,
+    decoder: Decoder<'static>,
+    next_id: u32,
+    coming: BTreeMap<u32, Coming>,
+    ended: BTreeMap<u32, Ended>,
+    /// SETTINGS and PING are acknowledged, and windows granted for what came.
+    pub mannered: bool,
+    /// What GOAWAY frames said: the last stream and the reason.
+    pub goaways: Vec<(u32, u32)>,
+    /// Settings of the server.
+    pub settings: BTreeMap<u16, u32>,
+}
+
+impl Caller {
+    /// With these settings of its own.
+    pub fn with(address: SocketAddr, own: &[(u16, u32)]) -> Caller {
+        let mut caller = Caller::silent(address);
+        caller.raw(&[PREFACE, &settings(own)].concat());
+        caller
+    }
+
+    pub fn to(address: SocketAddr) -> Caller {
+        Caller::with(address, &[])
+    }
+
+    /// One that has said nothing yet.
+    pub fn silent(address: SocketAddr) -> Caller {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(NEVER)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Caller::over(stream)
+    }
+
+    fn over(stream: TcpStream) -> Caller {
+        Caller {
+            stream,
+            buffer: Vec::new(),
+            encoder: Encoder::new(),
+            decoder: Decoder::new(),
+            next_id: 1,
+            coming: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            mannered: true,
+            goaways: Vec::new(),
+            settings: BTreeMap::new(),
+        }
+    }
+
+    pub fn raw(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// The same where the other side may have closed; false then.
+    pub fn try_raw(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
+    pub fn socket(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// The other half of its connection: whoever has it reads, and says nothing.
+    pub fn reader(&self) -> Caller {
+        Caller { mannered: false, ..Caller::over(self.stream.try_clone().unwrap()) }
+    }
+
+    pub fn block(&mut self, fields: &[(&str, &str)]) -> Vec<u8> {
+        self.encoder.encode(fields.iter().map(|(name, value)| (name.as_bytes(), value.as_bytes())))
+    }
+
+    /// A number for a stream that was not used yet.
+    pub fn new_stream(&mut self) -> u32 {
+        self.next_id += 2;
+        self.next_id - 2
+    }
+
+    /// Opens a stream with these fields.
+    pub fn open(&mut self, fields: &[(&str, &str)], end: bool) -> u32 {
+        let (id, block) = (self.new_stream(), self.block(fields));
+        self.raw(&frame(HEADERS, END_HEADERS | u8::from(end), id, &block));
+        id
+    }
+
+    pub fn data(&mut self, id: u32, bytes: &[u8], end: bool) {
+        self.raw(&frame(DATA, u8::from(end), id, bytes));
+    }
+
+    pub fn reset(&mut self, id: u32, reason: u32) {
+        self.try_raw(&frame(RST_STREAM, 0, id, &reason.to_be_bytes()));
+    }
+
+    /// A request to `look`, or to `pay` where it has a key; its bytes, for a stream of that number.
+    pub fn request_bytes(&mut self, id: u32, txn: u64, key: Option<&str>, body: &[u8]) -> Vec<u8> {
+        let (txn, now) = (format!("{txn:016x}"), unix_ms().to_string());
+        let mut fields = vec![
+            (":method", "POST"),
+            (":scheme", "http"),
+            (":path", if key.is_some() { "/svc/pay" } else { "/svc/look" }),
+            (":authority", "backend.local"),
+            ("x-txn", &txn),
+            ("x-ingress-time", &now),
+            ("x-router", "4"),
+            ("x-merchant", "north"),
+            ("x-working-set-kb", "24.5"),
+            ("x-shed-order", "0.6250"),
+        ];
+        if let Some(key) = key {
+            fields.push(("x-txn-key", key));
+        }
+        let head = frame(HEADERS, END_HEADERS, id, &self.block(&fields));
+        [head, frame(DATA, END_STREAM, id, body)].concat()
+    }
+
+    pub fn ask(&mut self, txn: u64, key: Option<&str>, body: &[u8]) -> u32 {
+        let id = self.new_stream();
+        let bytes = self.request_bytes(id, txn, key, body);
+        self.raw(&bytes);
+        id
+    }
+
+    pub fn get(&mut self, path: &str) -> u32 {
+        let fields =
+            [(":method", "GET"), (":scheme", "http"), (":path", path), (":authority", "backend.local")];
+        self.open(&fields, true)
+    }
+
+    /// The next frame as it comes; none at the end.
+    pub fn frame(&mut self) -> Option<Frame> {
+        loop {
+            if let [a, b, c, kind, flags, d, e, f, g, rest @ ..] = &self.buffer[..] {
+                let length = u32::from_be_bytes([0, *a, *b, *c]) as usize;
+                if rest.len() >= length {
+                    let stream = u32::from_be_bytes([*d, *e, *f, *g]);
+                    let frame =
+                        Frame { kind: *kind, flags: *flags, stream, payload: rest[..length].to_vec() };
+                    self.buffer.drain(..9 + length);
+                    return Some(frame);
+                }
+            }
+            let mut chunk = [0; 16 * 1024];
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return None,
+                Ok(count) => self.buffer.extend_from_slice(&chunk[..count]),
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                Err(e) => panic!("nothing came: {e}"),
+            }
+        }
+    }
+
+    /// Takes one frame in; false at the end.
+    pub fn take(&mut self) -> bool {
+        let Some(Frame { kind, flags, stream, payload }) = self.frame() else { return false };
+        let word = |at: usize| u32::from_be_bytes(payload[at..at + 4].try_into().unwrap());
+        match kind {
+            SETTINGS if flags & ACK == 0 => {
+                for entry in payload.chunks(6) {
+                    let id = u16::from_be_bytes([entry[0], entry[1]]);
+                    self.settings.insert(id, u32::from_be_bytes(entry[2..6].try_into().unwrap()));
+                }
+                if self.mannered {
+                    self.try_raw(&frame(SETTINGS, ACK, 0, &[]));
+                }
+            }
+            PING if flags & ACK == 0 && self.mannered => drop(self.try_raw(&frame(PING, ACK, 0, &payload))),
+            GOAWAY => self.goaways.push((word(0), word(4))),
+            RST_STREAM => {
+                // After a whole answer it only says that the rest of the request is not wanted.
+                self.ended.entry(stream).or_insert(Ended::Reset(word(0)));
+            }
+            HEADERS | DATA => {
+                if kind == HEADERS {
+                    let fields = self.decoder.decode(&payload).unwrap();
+                    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+                    let fields = fields.into_iter().map(|(name, value)| (text(name), text(value)));
+                    self.coming.entry(stream).or_default().fields.extend(fields);
+                } else {
+                    if self.mannered && !payload.is_empty() {
+                        let grant = (payload.len() as u32).to_be_bytes();
+                        self.try_raw(&frame(WINDOW_UPDATE, 0, 0, &grant));
+                    }
+                    self.coming.entry(stream).or_default().body.extend(payload);
+                }
+                if flags & END_STREAM != 0 {
+                    let coming = self.coming.remove(&stream).unwrap_or_default();
+                    let fields: Fields = coming.fields.into_iter().collect();
+                    let status = fields[":status"].parse().unwrap();
+                    self.ended.insert(stream, Ended::Answer(status, fields, coming.body));
+                }
+            }
+            _ => {}
+        }
+        true
+    }
+
+    /// Streams whose answers have begun, as far as they were not asked for.
+    pub fn begun(&self) -> usize {
+        self.coming.len() + self.ended.len()
+    }
+
+    /// What came of a stream so far.
+    pub fn came_of(&self, id: u32) -> Option<Ended> {
+        self.ended.get(&id).cloned()
+    }
+
+    /// Whether a stream's answer has begun, and no more.
+    pub fn has_begun(&self, id: u32) -> bool {
+        self.coming.contains_key(&id)
+    }
+
+    /// Waits for the end of a stream.
+    pub fn ended(&mut self, id: u32) -> Ended {
+        loop {
+            if let Some(ended) = self.ended.remove(&id) {
+                return ended;
+            }
+            if !self.take() {
+                return Ended::Closed;
+            }
+        }
+    }
+
+    /// Status, fields and body of a stream's answer.
+    pub fn answer(&mut self, id: u32) -> (u16, Fields, Vec<u8>) {
+        match self.ended(id) {
+            Ended::Answer(status, fields, body) => (status, fields, body),
+            other => panic!("{other:?}, goaways {:?}", self.goaways),
+        }
+    }
+
+    /// Reads to the end; what GOAWAY said last.
+    pub fn closed(&mut self) -> Option<(u32, u32)> {
+        while self.take() {}
+        self.goaways.last().copied()
+    }
+
+    /// Reads until a GOAWAY comes, or the end.
+    pub fn goaway(&mut self) -> Option<(u32, u32)> {
+        let known = self.goaways.len();
+        while self.goaways.len() == known && self.take() {}
+        self.goaways.get(known).copied()
+    }
+}
--- a/crates/heathspur-rig/src/scripted.rs
+++ b/crates/heathspur-rig/src/scripted.rs
@@ -152,6 +152,11 @@
         Rig::run(|_| {}, Some(operator))
     }
 
+    /// With both.
+    pub fn operated_with(operator: &std::path::Path, edit: impl FnOnce(&mut Value)) -> Rig {
+        Rig::run(edit, Some(operator))
+    }
+
     fn run(edit: impl FnOnce(&mut Value), operator: Option<&std::path::Path>) -> Rig {
         let (vm, store, announce) = (local(), local(), local());
         let at = |l: &TcpListener| l.local_addr().unwrap();
@@ -194,6 +199,11 @@
         self.process.signal("HUP");
     }
 
+    /// Where it listens for another protocol, as it says next.
+    pub fn further(&self) -> SocketAddr {
+        self.logs("listening for").rsplit(' ').next().unwrap().parse().unwrap()
+    }
+
     /// Waits for a line of the log that holds these words, and gives it.
     pub fn logs(&self, words: &str) -> String {
         loop {
--- a/crates/heathspurd/src/front.rs
+++ b/crates/heathspurd/src/front.rs
@@ -6,6 +6,7 @@
 //! connections ([`Crowd`]).
 
 use crate::crowd::Crowd;
+use crate::room::Room;
 use crate::tape::Tap;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
@@ -89,6 +90,8 @@
     pub tap: Option<Rc<Tap>>,
     /// The connections of all fronts.
     pub crowd: Rc<Crowd>,
+    /// The budget for answers that wait for their readers, where fronts share one.
+    pub room: Option<Rc<Room>>,
 }
 
 impl Desk {
@@ -99,6 +102,7 @@
         shutting: Receiver<()>,
         tap: Option<Rc<Tap>>,
         crowd: Rc<Crowd>,
+        room: Option<Rc<Room>>,
     ) -> Desk {
         Desk {
             names,
@@ -111,6 +115,7 @@
             shutting,
             tap,
             crowd,
+            room,
         }
     }
 
--- a/crates/heathspurd/src/http1/answer.rs
+++ b/crates/heathspurd/src/http1/answer.rs
@@ -1,12 +1,15 @@
 //! The one final answer of each request, back to the connection it came on.
 
 use crate::clock::within;
-use crate::front::{Answer, Desk};
+use crate::front::Desk;
+use crate::reply::Words;
+use crate::room::Room;
 use crate::tape::Stream;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use heathspur_wire::http::{self, Last};
 use std::io;
 use std::net::Shutdown;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// What is turned away is read off for so long, and so far, before its connection is closed.
@@ -16,40 +19,13 @@
 const SLOW: Duration = Duration::from_secs(10);
 
 /// Writes an answer; an error means that the connection is of no more use.
-pub(crate) async fn write(stream: &Stream, desk: &Desk, answer: &Answer, last: Last) -> io::Result<()> {
-    let mut fields = free_value(desk);
-    let (status, body) = match answer {
-        Answer::Served(body) => (200, &body[..]),
-        Answer::Refused { stay_away, last: give_up } => {
-            if let Some(span) = stay_away {
-                fields.push(("X-Throttle-Ms", span.0.div_ceil(1000) as f64));
-            }
-            if *give_up {
-                fields.push(("X-Give-Up", 1.0));
-            }
-            (503, &b""[..])
-        }
-        Answer::Failed => (500, &b""[..]),
-        Answer::GivenUp => (504, &b""[..]),
-        Answer::Conflict => (409, &b""[..]),
-        Answer::KeyReused => (422, &b""[..]),
-    };
-    let mut out = Vec::with_capacity(256 + body.len());
-    http::write_answer(&mut out, status, &fields, last, body);
-    put(stream, &out).await
-}
-
-/// Answers a health check.
-pub(crate) async fn health(stream: &Stream, desk: &Desk, last: Last) -> io::Result<()> {
-    let mut out = Vec::new();
-    let status = if desk.good.get() { 200 } else { 503 };
-    http::write_answer(&mut out, status, &free_value(desk), last, b"");
-    put(stream, &out).await
-}
-
-/// The field that every answer and check carries once the value is set.
-fn free_value(desk: &Desk) -> Vec<(&'static str, f64)> {
-    desk.free_value.get().map(|value| ("X-Capacity", value)).into_iter().collect()
+pub(crate) async fn write(stream: &Stream, desk: &Desk, words: &Words, last: Last) -> io::Result<()> {
+    let mut out = Vec::with_capacity(256 + words.body.len());
+    http::write_answer(&mut out, words.status, &words.fields, last, &words.body);
+    match &desk.room {
+        None => put(stream, &out).await,
+        Some(room) => put_in_room(stream, room, &out).await,
+    }
 }
 
 /// Answers what is no request that can be taken, and ends its connection.
@@ -78,3 +54,21 @@
 async fn put(mut stream: &Stream, out: &[u8]) -> io::Result<()> {
     within(SLOW, stream.write_all(out)).await
 }
+
+/// The same under a budget of memory that other fronts share: what a slow reader leaves lying is held in it, and
+/// given up with the connection when others need the room.
+async fn put_in_room(mut stream: &Stream, room: &Rc<Room>, out: &[u8]) -> io::Result<()> {
+    let written = match future::poll_once(stream.write(out)).await {
+        Some(written) => written?,
+        None => 0,
+    };
+    if written == out.len() {
+        return Ok(());
+    }
+    let held = room.hold(room.holder(), out.len() - written);
+    let crowded = async {
+        held.crowded().await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    future::or(put(stream, &out[written..]), crowded).await
+}
--- a/crates/heathspurd/src/http1/mod.rs
+++ b/crates/heathspurd/src/http1/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::crowd::Place;
 use crate::front::{Answer, Arrival, Front};
+use crate::reply::Words;
 use crate::request::{Asked, Draft};
 use crate::tape::Stream;
 use async_executor::LocalExecutor;
@@ -67,7 +68,7 @@
             place.has_asked();
         }
         let answered = match asked {
-            Read::Health => answer::health(&stream, &front.desk, last).await,
+            Read::Health => answer::write(&stream, &front.desk, &Words::of_health(&front.desk), last).await,
             Read::Bad(status) => return turn_away(&stream, &place, status).await,
             Read::Request(arrival, answers) => {
                 let id = arrival.id;
@@ -80,7 +81,7 @@
                         if front.desk.leaving.get() {
                             last = Last::Yes;
                         }
-                        answer::write(&stream, &front.desk, &given, last).await
+                        answer::write(&stream, &front.desk, &Words::of(&given, &front.desk), last).await
                     }
                     None => {
                         answers.close();
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -18,6 +18,7 @@
 mod front;
 mod hear;
 mod http1;
+mod http2;
 mod inbox;
 mod intake;
 mod interpreter;
@@ -26,7 +27,9 @@
 mod log;
 mod owner;
 mod record;
+mod reply;
 mod request;
+mod room;
 mod route;
 mod send;
 mod serve;
@@ -40,6 +43,7 @@
 use config::Config;
 use heathspur_operator::Operator;
 use record::Recording;
+use serve::Listeners;
 use std::fmt;
 use std::io;
 use std::net::TcpListener;
@@ -102,7 +106,11 @@
 pub fn serve(config: Config, operator: Operator) -> Result<(), Fault> {
     // Signals first: from the moment that others can connect, none of them ends the process by itself.
     let notice = signals::notices().map_err(Fault::Signals)?;
-    let listener = TcpListener::bind(config.listen).map_err(|e| Fault::Bind(config.listen, e))?;
+    let bind = |address| TcpListener::bind(address).map_err(|e| Fault::Bind(address, e));
+    let listeners = Listeners {
+        http1: bind(config.listen)?,
+        http2: operator.http2.clone().map(|http2| Ok((bind(http2.listen)?, http2))).transpose()?,
+    };
     let recording = match &operator.record {
         Some(record) => Some(Recording::start(&config.name, record).map_err(Fault::Thread)?),
         None => None,
@@ -110,7 +118,7 @@
     let tap = recording.as_ref().map(|recording| recording.tap.clone());
     let executor = Rc::new(LocalExecutor::new());
     let served =
-        async_io::block_on(executor.run(serve::serve(executor.clone(), config, listener, notice, tap)));
+        async_io::block_on(executor.run(serve::serve(executor.clone(), config, listeners, notice, tap)));
     // What streams are left hold the tap.
     drop(executor);
     if let Some(recording) = recording {
--- a/crates/heathspurd/src/serve.rs
+++ b/crates/heathspurd/src/serve.rs
@@ -7,12 +7,14 @@
 use crate::crowd::Crowd;
 use crate::front::{Desk, Front};
 use crate::http1;
+use crate::http2;
 use crate::inbox::News;
 use crate::intake::Intake;
 use crate::interpreter;
 use crate::keys::Keys;
 use crate::link::Target;
 use crate::owner::{LinkState, Owner, Targets};
+use crate::room::Room;
 use crate::signals;
 use crate::store;
 use crate::table::Table;
@@ -23,6 +25,8 @@
 use async_io::Async;
 use async_signal::Signals;
 use heathspur::Effect;
+use heathspur_operator::Http2;
+use heathspur_streams::ledger::Bounds;
 use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 use std::io;
 use std::net::TcpListener;
@@ -50,11 +54,18 @@
     }
 }
 
+/// The sockets of the fronts, bound already.
+pub(crate) struct Listeners {
+    pub http1: TcpListener,
+    /// The port for HTTP/2 and its bounds, where it is on.
+    pub http2: Option<(TcpListener, Http2)>,
+}
+
 /// Starts all tasks and serves until the server has left.
 pub(crate) async fn serve(
     executor: Rc<LocalExecutor<'static>>,
     config: Config,
-    listener: TcpListener,
+    listeners: Listeners,
     notice: Signals,
     tap: Option<Rc<Tap>>,
 ) -> io::Result<()> {
@@ -62,6 +73,10 @@
     let (shutter, shutting) = async_channel::bounded(1);
     let (closed, closings) = async_channel::bounded(1);
     let settings = config.settings.clone();
+    let room = listeners.http2.as_ref().map(|(_, http2)| {
+        let memory = &http2.memory;
+        Room::new(Bounds { connection: memory.connection.0, all: memory.answers.0 })
+    });
     let desk = Rc::new(Desk::new(
         config.names.clone(),
         settings.classes.iter().map(|c| c.effect == Effect::Keyed).collect(),
@@ -69,6 +84,7 @@
         shutting,
         tap.clone(),
         Rc::new(Crowd::new(config.sockets.saturating_sub(SPARE + config.sockets / CALLS_PART))),
+        room.clone(),
     ));
     let interpreter = interpreter::Link::new();
     let places = config.sockets / CALLS_PART;
@@ -84,10 +100,16 @@
         executor.spawn(hand_on(going, news.clone())).detach();
         Front { desk: desk.clone(), requests, gone }
     };
-    let address = listener.local_addr()?;
+    let address = listeners.http1.local_addr()?;
     info!(%address, "listening on {address}");
     let spoken = http1::serve(executor.clone(), Rc::new(front()));
-    executor.spawn(accept(Async::new(listener)?, desk.clone(), spoken)).detach();
+    executor.spawn(accept(Async::new(listeners.http1)?, desk.clone(), spoken)).detach();
+    if let (Some((listener, bounds)), Some(room)) = (listeners.http2, room) {
+        let address = listener.local_addr()?;
+        info!(%address, "listening for HTTP/2 on {address}");
+        let spoken = http2::serve(executor.clone(), front(), bounds, room);
+        executor.spawn(accept(Async::new(listener)?, desk.clone(), spoken)).detach();
+    }
     executor.spawn(interpreter::keep(targets.vm.clone(), interpreter.clone(), news.clone(), tap)).detach();
     executor.spawn(announce::keep(targets.announce.clone(), config.name.clone(), report.clone())).detach();
     executor.spawn(hand_on(closings, news.clone())).detach();
--- /dev/null
+++ b/crates/heathspurd/tests/http2.rs
@@ -0,0 +1,485 @@
+//! HTTP/2 as the process speaks it, against scripted stand-ins: the four rules, each limit, each abuse.
+
+use heathspur_rig::http2::*;
+use heathspur_rig::scripted::{request, Client, Fields, Rig, Vm, NEVER};
+use serde_json::json;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Instant;
+
+struct File(PathBuf);
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn operator(name: &str, inner: &str) -> File {
+    let file = std::env::temp_dir().join(format!("heathspurd-http2-{}-{name}.xml", std::process::id()));
+    let text = format!(
+        "<operator xmlns=\"urn:heathspur:operator:1\"><http2 listen=\"127.0.0.1:0\">{inner}</http2></operator>"
+    );
+    std::fs::write(&file, text).unwrap();
+    File(file)
+}
+
+/// A server with the port on, and where that is.
+fn start(name: &str, inner: &str) -> (Rig, Vm, SocketAddr) {
+    let file = operator(name, inner);
+    let rig = Rig::operated(&file.0);
+    let address = rig.further();
+    let vm = rig.link();
+    (rig, vm, address)
+}
+
+fn task(txn: u64) -> String {
+    format!("{txn:016x}")
+}
+
+/// Requests of another connection are still answered.
+fn serves(address: SocketAddr, vm: &mut Vm, txn: u64) {
+    let mut caller = Caller::to(address);
+    let id = caller.ask(txn, None, b"good");
+    assert_eq!(vm.apply().0, task(txn));
+    vm.value(&task(txn), "complete", b"fine");
+    let (status, _, body) = caller.answer(id);
+    assert_eq!((status, &body[..]), (200, &b"fine"[..]));
+}
+
+#[test]
+fn many_requests_of_one_connection_are_answered_in_any_order() {
+    let (_rig, mut vm, address) = start("order", "");
+    let mut caller = Caller::to(address);
+    let body: Vec<u8> = (0..=255).collect();
+    let ids: Vec<u32> = (1..6).map(|txn| caller.ask(txn, None, &body)).collect();
+    let mut applied: Vec<_> = (1..6).map(|_| vm.apply()).collect();
+    applied.sort();
+    assert!(applied.iter().all(|(_, class, bytes)| class == "look" && *bytes == body));
+    for txn in (1..6).rev() {
+        vm.value(&task(txn), "complete", &body[txn as usize..]);
+    }
+    for (txn, id) in (1..6).zip(ids) {
+        let (status, fields, result) = caller.answer(id);
+        assert_eq!((status, &result[..]), (200, &body[txn..]));
+        assert_eq!(fields["content-length"], result.len().to_string());
+    }
+    assert!(caller.goaways.is_empty());
+}
+
+#[test]
+fn every_byte_may_come_alone() {
+    let (_rig, mut vm, address) = start("bytes", "");
+    let mut caller = Caller::silent(address);
+    let (id, mut bytes) = (caller.new_stream(), [PREFACE, &settings(&[])].concat());
+    bytes.extend(caller.request_bytes(id, 1, Some("k"), b"abc"));
+    for byte in bytes {
+        caller.raw(&[byte]);
+    }
+    assert_eq!(vm.apply(), (task(1), "pay".to_string(), b"abc".to_vec()));
+    vm.value(&task(1), "complete", b"");
+    assert_eq!(caller.answer(id).0, 200);
+}
+
+#[test]
+fn a_refusal_says_the_same_as_over_http1() {
+    let file = operator("refusal", "");
+    let rig = Rig::operated_with(&file.0, |c| c["settings"]["family-info"]["mem-limit-kb"] = json!(20.0));
+    let address = rig.further();
+    let _vm = rig.link();
+    let mut caller = Caller::to(address);
+    let id = caller.ask(1, None, b"abc");
+    let (status, fields, _) = caller.answer(id);
+    let mut client = rig.client();
+    client.send(&request(2, None, b"abc"));
+    let (other, its, _) = client.answer();
+    assert_eq!((status, other), (503, 503));
+    let names = |fields: &Fields| fields.keys().filter(|n| n.starts_with("x-")).cloned().collect::<Vec<_>>();
+    assert_eq!(names(&fields), names(&its));
+    assert!(fields["x-throttle-ms"].parse::<u64>().unwrap() > 0);
+}
+
+#[test]
+fn a_capture_that_is_reset_runs_once_and_its_result_is_kept_for_any_protocol() {
+    let (rig, mut vm, address) = start("reset", "");
+    let mut caller = Caller::to(address);
+    let first = caller.ask(1, Some("k1"), b"pay");
+    assert_eq!(vm.apply().0, task(1));
+    caller.reset(first, CANCEL);
+    // Another stream, another connection, another protocol: all wait for the one run.
+    let second = caller.ask(2, Some("k1"), b"pay");
+    let mut other = Caller::to(address);
+    let third = other.ask(3, Some("k1"), b"pay");
+    let mut client = rig.client();
+    client.send(&request(4, Some("k1"), b"pay"));
+    let marker = other.ask(5, Some("k2"), b"pay");
+    assert_eq!(vm.apply().0, task(5), "no repeat runs");
+    vm.value(&task(1), "complete", b"done");
+    assert_eq!(caller.answer(second).2, b"done");
+    assert_eq!(other.answer(third).2, b"done");
+    assert_eq!(client.answer().2, b"done");
+    // And after it has ended.
+    let late = other.ask(6, Some("k1"), b"pay");
+    assert_eq!(other.answer(late).2, b"done");
+    vm.value(&task(5), "complete", b"other");
+    assert_eq!(other.answer(marker).2, b"other");
+    // The key goes with one body whatever the protocol.
+    let wrong = other.ask(7, Some("k1"), b"another");
+    assert_eq!(other.answer(wrong).0, 422);
+}
+
+#[test]
+fn a_reset_counts_as_the_caller_having_gone_and_so_does_a_lost_connection() {
+    let (_rig, mut vm, address) = start("gone", "");
+    for txn in 1..40 {
+        let mut caller = Caller::to(address);
+        let id = caller.ask(txn, None, b"abc");
+        assert_eq!(vm.apply().0, task(txn));
+        match txn % 2 {
+            0 => caller.reset(id, CANCEL),
+            _ => drop(caller),
+        }
+        let stop = vm.command();
+        assert_eq!((&stop["verb"], &stop["task"]), (&json!("BREAK"), &json!(task(txn))));
+        vm.value(&task(txn), "cancelled", b"");
+    }
+}
+
+#[test]
+fn what_is_no_request_is_answered_and_the_connection_stays() {
+    let (_rig, mut vm, address) = start("wrong", "");
+    let mut caller = Caller::to(address);
+    let id = caller.get("/svc/look");
+    assert_eq!(caller.answer(id).0, 405);
+    let id = caller.get("/nothing");
+    assert_eq!(caller.answer(id).0, 404);
+    let head = [(":method", "POST"), (":scheme", "http"), (":path", "/svc/look"), (":authority", "b")];
+    let id = caller.open(&head, true);
+    assert_eq!(caller.answer(id).0, 400);
+    let id = caller.open(&head, false);
+    caller.data(id, &[0; 1500], false);
+    caller.data(id, &[0; 549], false);
+    assert_eq!(caller.answer(id).0, 413);
+    let id = caller.get("/status/live");
+    assert!(matches!(caller.answer(id).0, 200 | 503));
+    let id = caller.open(&[(":method", "HEAD"), head[1], (":path", "/status/live"), head[3]], true);
+    assert!(caller.answer(id).2.is_empty());
+    serves(address, &mut vm, 1);
+    let id = caller.ask(2, None, b"x");
+    vm.apply();
+    vm.value(&task(2), "complete", b"y");
+    assert_eq!(caller.answer(id).2, b"y");
+}
+
+#[test]
+fn a_request_that_stops_half_way_is_answered_in_time() {
+    let (_rig, mut vm, address) = start("half", "<request whole=\"200 ms\"/>");
+    let mut caller = Caller::to(address);
+    let head = [(":method", "POST"), (":scheme", "http"), (":path", "/svc/look"), (":authority", "b")];
+    let id = caller.open(&head, false);
+    caller.data(id, b"abc", false);
+    assert_eq!(caller.answer(id).0, 408);
+    // Trailers may end a request.
+    let id = caller.new_stream();
+    let bytes = caller.request_bytes(id, 1, None, b"abc");
+    let at = bytes.len() - 3 - 9 + 4;
+    let mut open = bytes.clone();
+    open[at] = 0;
+    caller.raw(&open);
+    let block = caller.block(&[("x-note", "end")]);
+    caller.raw(&frame(HEADERS, END_HEADERS | END_STREAM, id, &block));
+    assert_eq!(vm.apply().2, b"abc");
+    vm.value(&task(1), "complete", b"y");
+    assert_eq!(caller.answer(id).2, b"y");
+}
+
+#[test]
+fn another_version_is_told_so_in_words_it_can_read_and_silence_is_ended() {
+    let (_rig, mut vm, address) = start("version", "<request whole=\"200 ms\"/>");
+    let mut client = Client::to(address);
+    client.send(&request(1, None, b"abc"));
+    let (status, fields, body) = client.answer();
+    assert_eq!((status, fields["connection"].as_str()), (505, "close"));
+    assert!(String::from_utf8(body).unwrap().contains("HTTP/2"));
+    client.closed();
+    let silent = Caller::silent(address);
+    assert_eq!(silent.socket().read(&mut [0; 9]).unwrap(), 0);
+    let mut half = Caller::silent(address);
+    half.raw(&PREFACE[..12]);
+    assert_eq!(half.socket().read(&mut [0; 9]).unwrap(), 0);
+    half.mannered = false;
+    serves(address, &mut vm, 2);
+}
+
+#[test]
+fn streams_past_a_limit_are_refused_with_proof_that_nothing_ran() {
+    let (_rig, mut vm, address) = start("limit", "<streams connection=\"2\" all=\"4\"/>");
+    let mut caller = Caller::to(address);
+    let ids: Vec<u32> = (1..3).map(|txn| caller.ask(txn, None, b"abc")).collect();
+    (1..3).for_each(|_| drop(vm.apply()));
+    // It was told so, and has acknowledged it.
+    let id = caller.ask(9, None, b"abc");
+    assert_eq!(caller.ended(id), Ended::Reset(REFUSED_STREAM));
+    assert_eq!(caller.settings[&3], 2);
+    let mut second = Caller::to(address);
+    let more: Vec<u32> = (20..22).map(|txn| second.ask(txn, None, b"abc")).collect();
+    (20..22).for_each(|_| drop(vm.apply()));
+    let mut third = Caller::to(address);
+    let id = third.ask(30, None, b"abc");
+    assert_eq!(third.ended(id), Ended::Reset(REFUSED_STREAM));
+    for (txn, id) in (1..3).zip(ids) {
+        vm.value(&task(txn), "complete", b"x");
+        assert_eq!(caller.answer(id).0, 200);
+    }
+    let id = third.ask(31, None, b"abc");
+    assert_eq!(vm.apply().0, task(31));
+    vm.value(&task(31), "complete", b"x");
+    assert_eq!(third.answer(id).0, 200);
+    drop((second, more));
+}
+
+#[test]
+fn a_stalled_readers_answers_are_dropped_in_time_and_what_ran_is_kept() {
+    let (_rig, mut vm, address) = start("stall", "<patience stalled=\"300 ms\"/>");
+    // Its window is shut from the start, and it never opens it.
+    let mut caller = Caller::with(address, &[(INITIAL_WINDOW, 0)]);
+    let ids: Vec<u32> = (1..6).map(|txn| caller.ask(txn, Some(&format!("k{txn}")), b"pay")).collect();
+    for _ in 1..6 {
+        let (task, ..) = vm.apply();
+        vm.value(&task, "complete", b"receipt");
+    }
+    for id in ids {
+        assert_eq!(caller.ended(id), Ended::Reset(ENHANCE_YOUR_CALM));
+    }
+    let mut client = Caller::to(address);
+    let id = client.ask(9, Some("k3"), b"pay");
+    assert_eq!(client.answer(id).2, b"receipt");
+}
+
+#[test]
+fn what_nobody_reads_stays_within_its_budget_and_the_one_who_stalls_pays() {
+    let memory = "<memory answers=\"64 KiB\" connection=\"64 KiB\"/><patience stalled=\"60 s\"/>";
+    let (_rig, mut vm, address) = start("budget", memory);
+    let mut stalled = Caller::with(address, &[(INITIAL_WINDOW, 0)]);
+    let answer = vec![7; 6000];
+    let ids: Vec<u32> = (1..21).map(|txn| stalled.ask(txn, None, b"x")).collect();
+    for _ in 1..21 {
+        let (task, ..) = vm.apply();
+        vm.value(&task, "complete", &answer);
+    }
+    // 10 of 6,000 bytes have room; the oldest ten gave way.
+    for id in &ids[..10] {
+        assert_eq!(stalled.ended(*id), Ended::Reset(ENHANCE_YOUR_CALM));
+    }
+    // Another one that is slow as well pays only once it holds more.
+    let mut modest = Caller::with(address, &[(INITIAL_WINDOW, 0)]);
+    let id = modest.ask(40, None, b"x");
+    vm.apply();
+    vm.value(&task(40), "complete", &answer);
+    assert_eq!(stalled.ended(ids[10]), Ended::Reset(ENHANCE_YOUR_CALM));
+    modest.raw(&frame(WINDOW_UPDATE, 0, id, &6000u32.to_be_bytes()));
+    assert_eq!(modest.answer(id).2.len(), 6000);
+    // What has room is there once the window opens.
+    stalled.raw(&frame(WINDOW_UPDATE, 0, ids[19], &6000u32.to_be_bytes()));
+    assert_eq!(stalled.answer(ids[19]).2.len(), 6000);
+}
+
+/// Sends until the connection ends; what GOAWAY said.
+fn flood(
+    address: SocketAddr,
+    prepare: impl Fn(&mut Caller),
+    mut each: impl FnMut(&mut Caller) -> Vec<u8>,
+) -> u32 {
+    let mut caller = Caller::to(address);
+    prepare(&mut caller);
+    let start = Instant::now();
+    // Another thread reads, so that nobody waits for a full socket.
+    let mut reader = caller.reader();
+    let said = std::thread::spawn(move || reader.closed());
+    loop {
+        let bytes = each(&mut caller);
+        if !caller.try_raw(&bytes) || said.is_finished() {
+            break;
+        }
+        assert!(start.elapsed() < NEVER, "it takes everything");
+    }
+    said.join().unwrap().map_or(NO_ERROR, |(_, reason)| reason)
+}
+
+#[test]
+fn floods_are_ended_and_others_unharmed() {
+    let (_rig, mut vm, address) = start("floods", "");
+    let head = [(":method", "POST"), (":scheme", "http"), (":path", "/svc/look"), (":authority", "b")];
+    let none = |_: &mut Caller| {};
+    let reasons = [
+        ("settings", flood(address, none, |_| settings(&[]).repeat(50))),
+        ("pings", flood(address, none, |_| frame(PING, 0, 0, &[0; 8]).repeat(50))),
+        ("priorities", flood(address, none, |_| frame(PRIORITY, 0, 1, &[0, 0, 0, 3, 1]).repeat(50))),
+        ("windows", flood(address, none, |_| frame(WINDOW_UPDATE, 0, 0, &[0, 0, 0, 1]).repeat(50))),
+        (
+            "empty data",
+            flood(address, |c| assert_eq!(c.open(&head, false), 1), |_| frame(DATA, 0, 1, &[]).repeat(50)),
+        ),
+        (
+            "continuations",
+            flood(
+                address,
+                |c| {
+                    let block = c.block(&head);
+                    c.raw(&frame(HEADERS, 0, 1, &block));
+                },
+                |_| frame(CONTINUATION, 0, 1, &[]).repeat(50),
+            ),
+        ),
+        (
+            "tables up and down",
+            flood(address, none, |_| [settings(&[(1, 0)]), settings(&[(1, 65_536)])].concat().repeat(20)),
+        ),
+    ];
+    for (name, reason) in reasons {
+        assert_eq!(reason, ENHANCE_YOUR_CALM, "{name}");
+    }
+    serves(address, &mut vm, 1);
+    // Rapid reset: each stream is opened and given up at once.
+    let mut txn = 100;
+    let reason = flood(address, none, |caller| {
+        txn += 1;
+        let id = caller.new_stream();
+        let asked = caller.request_bytes(id, txn, None, b"x");
+        [asked, frame(RST_STREAM, 0, id, &CANCEL.to_be_bytes())].concat()
+    });
+    assert_eq!(reason, ENHANCE_YOUR_CALM, "rapid reset");
+}
+
+#[test]
+fn header_bombs_and_broken_frames_end_their_stream_or_connection_alone() {
+    let (_rig, mut vm, address) = start("broken", "");
+    let mut caller = Caller::to(address);
+    let large = "x".repeat(9000);
+    let head = [(":method", "POST"), (":scheme", "http"), (":path", "/svc/look"), (":authority", "b")];
+    let id = caller.open(&[&head[..], &[("x-large", &large)]].concat(), true);
+    assert!(matches!(caller.ended(id), Ended::Answer(431, ..) | Ended::Reset(_)));
+    let id = caller.ask(1, None, b"x");
+    vm.apply();
+    vm.value(&task(1), "complete", b"y");
+    assert_eq!(caller.answer(id).0, 200, "the connection stays");
+    let broken: [Vec<u8>; 5] = [
+        // A window that overflows.
+        frame(WINDOW_UPDATE, 0, 0, &0x7fff_ffffu32.to_be_bytes()),
+        // A frame that is too long, a header block that makes no sense, data of no stream, a window of nothing.
+        frame(DATA, 0, 1, &vec![0; 20_000]),
+        frame(HEADERS, END_HEADERS, 1, &[0xff; 40]),
+        frame(DATA, 0, 99, b"abc"),
+        frame(WINDOW_UPDATE, 0, 0, &[0; 4]),
+    ];
+    for bytes in broken {
+        let mut caller = Caller::to(address);
+        caller.raw(&bytes);
+        let (_, reason) = caller.closed().expect("a GOAWAY");
+        assert_ne!(reason, NO_ERROR, "{bytes:?}");
+    }
+    serves(address, &mut vm, 2);
+}
+
+#[test]
+fn a_drain_names_the_highest_id_then_the_last_one_and_answers_all_that_was_read() {
+    let (mut rig, mut vm, address) = start("drain", "");
+    let mut caller = Caller::to(address);
+    let first = caller.ask(1, Some("k1"), b"pay");
+    vm.apply();
+    caller.mannered = false;
+    rig.process.terminate();
+    assert_eq!(caller.goaway(), Some((0x7fff_ffff, NO_ERROR)));
+    // What was on its way is read still, until the round trip is over.
+    let second = caller.ask(2, Some("k2"), b"pay");
+    assert_eq!(vm.apply().0, task(2));
+    caller.mannered = true;
+    let ping = caller.frame().expect("a PING");
+    assert_eq!((ping.kind, ping.flags), (PING, 0));
+    caller.raw(&frame(PING, ACK, 0, &ping.payload));
+    assert_eq!(caller.goaway(), Some((second, NO_ERROR)));
+    // Whoever ignores that gets nothing run.
+    let third = caller.ask(3, Some("k3"), b"pay");
+    vm.value(&task(1), "complete", b"one");
+    vm.value(&task(2), "complete", b"two");
+    assert_eq!((caller.answer(first).2, caller.answer(second).2), (b"one".to_vec(), b"two".to_vec()));
+    assert_eq!(caller.ended(third), Ended::Closed);
+    assert_eq!(rig.process.wait().code(), Some(0));
+}
+
+#[test]
+fn a_drain_whose_round_trip_never_ends_is_bounded_and_refuses_what_follows() {
+    let (mut rig, mut vm, address) = start("no-pong", "<patience round-trip=\"100 ms\"/>");
+    let mut caller = Caller::to(address);
+    let first = caller.ask(1, None, b"x");
+    vm.apply();
+    caller.mannered = false;
+    rig.process.terminate();
+    assert_eq!(caller.goaway(), Some((0x7fff_ffff, NO_ERROR)));
+    std::thread::sleep(std::time::Duration::from_millis(700));
+    let second = caller.ask(2, None, b"x");
+    assert_eq!(caller.ended(second), Ended::Reset(REFUSED_STREAM));
+    vm.value(&task(1), "complete", b"one");
+    assert_eq!(caller.answer(first).2, b"one");
+    // The last stream is told before the end.
+    assert_eq!(caller.closed().map(|(_, reason)| reason), Some(NO_ERROR));
+    assert_eq!(rig.process.wait().code(), Some(0));
+}
+
+#[test]
+fn a_thousand_stalled_streams_do_not_hold_the_stop_up() {
+    let bounds = "<streams connection=\"1000\" all=\"1000\"/><patience stalled=\"60 s\"/>";
+    let (mut rig, mut vm, address) = start("stalled-stop", bounds);
+    let mut caller = Caller::with(address, &[(INITIAL_WINDOW, 0)]);
+    let ids: Vec<u32> = (1..200).map(|txn| caller.ask(txn, None, b"x")).collect();
+    // It serves for as long as there is a link.
+    std::thread::spawn(move || loop {
+        let command = vm.command();
+        if command["verb"] == "APPLY" {
+            vm.value(command["task"].as_str().unwrap(), "complete", b"answer");
+        }
+    });
+    while caller.begun() < ids.len() {
+        assert!(caller.take(), "the connection ended");
+    }
+    rig.process.terminate();
+    // Their deadline lies far behind the stop; whoever waited for it would never end here.
+    let told = Instant::now();
+    while rig.process.0.try_wait().unwrap().is_none() {
+        assert!(told.elapsed() < NEVER, "it does not leave");
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    assert_eq!(rig.process.wait().code(), Some(0));
+}
+
+#[test]
+fn a_flood_on_one_front_starves_no_other() {
+    let (rig, mut vm, address) = start("fair", "<streams connection=\"1000\" all=\"1000\"/>");
+    let mut caller = Caller::to(address);
+    let mut bytes = Vec::new();
+    for txn in 1000..1600 {
+        let id = caller.new_stream();
+        bytes.extend(caller.request_bytes(id, txn, None, b"flood"));
+    }
+    caller.raw(&bytes);
+    let mut client = rig.client();
+    client.send(&request(1, Some("k1"), b"pay"));
+    // The capture is worth more and is taken in among the first, so it runs long before the flood has.
+    let mut before = 0;
+    loop {
+        let command = vm.command();
+        if command["verb"] != "APPLY" {
+            continue;
+        }
+        let name = command["task"].as_str().unwrap().to_string();
+        if name == task(1) {
+            vm.value(&name, "complete", b"done");
+            break;
+        }
+        before += 1;
+        vm.value(&name, "complete", b"x");
+    }
+    assert!(before < 300, "{before} of the flood ran first");
+    assert_eq!(client.answer().2, b"done");
+}
