--- a/crates/heathspur-measure/src/cost.rs
+++ b/crates/heathspur-measure/src/cost.rs
@@ -1,16 +1,15 @@
 //! What a request costs the daemon: before, with recording off, and with it on.
 
+use crate::daemon::Daemon;
 use crate::large::peak_kib;
 use crate::table::Table;
 use heathspur_capture::Options;
 use heathspur_rig::capture::read;
-use heathspur_rig::scripted::{built, config, local, request, Client, Running};
-use heathspur_rig::swift;
-use serde_json::json;
-use std::io::{BufRead, BufReader};
+use heathspur_rig::scripted::{built, request, Client};
+use heathspur_rig::swift::Manner;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Stdio};
+use std::process::Command;
 use std::thread;
 use std::time::Instant;
 
@@ -29,43 +28,24 @@
     good: u64,
 }
 
-/// A daemon with stand-ins that answer at once, and where it listens.
-fn start(mut command: Command, folder: &Path, operator: Option<&Path>) -> (Running, SocketAddr, swift::Runs) {
-    let (vm, store, announce) = (local(), local(), local());
-    let at = |l: &std::net::TcpListener| l.local_addr().expect("an address");
-    let mut settings = config(at(&vm), at(&announce), at(&store));
-    settings["settings"]["realms"][0]["quota-per-s"] = json!(1e6);
-    settings["settings"]["family-info"]["calls-by-class"] = json!([false, true]);
-    settings["settings"]["family-info"]["mem-limit-kb"] = json!(90_000.0);
-    let file = folder.join("config.json");
-    std::fs::write(&file, settings.to_string()).expect("the configuration is written");
-    let runs = swift::interpreter(vm);
-    swift::announce(announce);
-    command.env("NODE_CONFIG", &file).stderr(Stdio::piped());
-    if let Some(operator) = operator {
-        command.args(["serve", "--operator"]).arg(operator);
-    }
-    let mut child = command.spawn().expect("the daemon starts");
-    let mut lines = BufReader::new(child.stderr.take().expect("a pipe")).lines().map_while(Result::ok);
-    let first = lines.next().expect("the daemon says where it listens");
-    let address: SocketAddr = first.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
-    thread::spawn(move || lines.for_each(|line| eprintln!("{line}")));
-    (Running(child), address, runs)
+fn start(command: Command, folder: &Path, operator: Option<&Path>) -> Daemon {
+    Daemon::start(command, folder, operator, Manner::default(), |_| {})
 }
 
 fn play(program: &Path, folder: &Path, operator: Option<&Path>) -> Play {
-    let (running, address, _) = start(Command::new(program), folder, operator);
-    load(address, 2_000, 0);
-    let before = cpu_nanos(running.0.id());
+    let daemon = start(Command::new(program), folder, operator);
+    load(daemon.address, 2_000, 0);
+    let before = daemon.cpu_nanos();
     let start = Instant::now();
-    let good = load(address, REQUESTS, 1 << 32);
+    let good = load(daemon.address, REQUESTS, 1 << 32);
     let seconds = start.elapsed().as_secs_f64();
-    let micros = (cpu_nanos(running.0.id()) - before) as f64 / 1000.0 / REQUESTS as f64;
-    Play { rate: REQUESTS as f64 / seconds, micros, peak: peak_kib(running.0.id()).unwrap_or(0), good }
+    let micros = (daemon.cpu_nanos() - before) as f64 / 1000.0 / REQUESTS as f64;
+    let peak = peak_kib(daemon.process.0.id()).unwrap_or(0);
+    Play { rate: REQUESTS as f64 / seconds, micros, peak, good }
 }
 
 /// So many requests, over connections that each wait for their answer; how many were served.
-fn load(address: SocketAddr, requests: u64, from: u64) -> u64 {
+pub fn load(address: SocketAddr, requests: u64, from: u64) -> u64 {
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
             thread::spawn(move || {
@@ -93,15 +73,6 @@
     }
 }
 
-/// Time on cores that a process's threads have had.
-fn cpu_nanos(id: u32) -> u64 {
-    let threads = std::fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten();
-    threads
-        .filter_map(|task| std::fs::read_to_string(task.path().join("schedstat")).ok())
-        .filter_map(|text| text.split(' ').next()?.parse::<u64>().ok())
-        .sum()
-}
-
 fn operator(folder: &Path, name: &str, contents: &str) -> PathBuf {
     let records = folder.join(format!("records-{name}"));
     std::fs::create_dir_all(&records).expect("a folder");
@@ -120,12 +91,12 @@
     let record = |name: &str, drive: &dyn Fn(SocketAddr)| {
         let records = folder.join(format!("records-{name}"));
         let operator = operator(folder, name, "full");
-        let (mut running, address, runs) = start(Command::new(&daemon), folder, Some(&operator));
-        drive(address);
-        running.terminate();
-        running.wait();
+        let mut daemon = start(Command::new(&daemon), folder, Some(&operator));
+        drive(daemon.address);
+        daemon.process.terminate();
+        daemon.process.wait();
         let files = std::fs::read_dir(&records).into_iter().flatten().flatten().map(|entry| entry.path());
-        let most = runs.lock().map_or(u64::MAX, |runs| runs.values().copied().max().unwrap_or(0));
+        let most = daemon.runs.lock().map_or(u64::MAX, |runs| runs.values().copied().max().unwrap_or(0));
         (files.collect::<Vec<_>>(), most)
     };
     let (first, ran_first) = record("first", &keyed);
@@ -212,16 +183,16 @@
 
 /// Instructions a request, as valgrind's callgrind counts them: plays differ by a tenth in time on cores, and by
 /// far less in these. Two loads, the smaller one taken off, so that start and stop are not counted.
-fn instructions(program: &Path, folder: &Path) -> f64 {
+pub fn instructions(program: &Path, folder: &Path) -> f64 {
     let counted = |requests: u64| {
         let out = folder.join("callgrind.out");
         let mut command = Command::new("valgrind");
         command.args(["--tool=callgrind", "--log-file=/dev/null"]);
         command.arg(format!("--callgrind-out-file={}", out.display())).arg(program);
-        let (mut running, address, _) = start(command, folder, None);
-        load(address, requests, 0);
-        running.terminate();
-        running.wait();
+        let mut daemon = start(command, folder, None);
+        load(daemon.address, requests, 0);
+        daemon.process.terminate();
+        daemon.process.wait();
         let text = std::fs::read_to_string(&out).unwrap_or_default();
         let total =
             text.lines().find_map(|line| line.strip_prefix("totals: ").or(line.strip_prefix("summary: ")));
--- a/crates/heathspur-measure/src/main.rs
+++ b/crates/heathspur-measure/src/main.rs
@@ -2,6 +2,8 @@
 #![forbid(unsafe_code)]
 
 mod cost;
+mod daemon;
+mod http2;
 mod large;
 mod storm;
 mod table;
@@ -32,6 +34,18 @@
         #[arg(long, default_value_t = 2048)]
         large: u64,
     },
+    /// HTTP/2 on a further port.
+    Http2 {
+        /// The daemon as it was before, to compare the cost of a request with.
+        #[arg(long)]
+        baseline: PathBuf,
+        /// Where the table goes.
+        #[arg(long)]
+        results: PathBuf,
+        /// Drains that are played.
+        #[arg(long, default_value_t = 20)]
+        drains: u64,
+    },
     /// What a request costs the daemon, alone.
     Cost {
         /// The daemon as it was before.
@@ -53,6 +67,11 @@
             cost::measure(&folder, &baseline, &mut table);
             table.finish(&results)
         }
+        What::Http2 { baseline, results, drains } => {
+            let mut table = Table::new("http2");
+            http2::measure(&folder, &baseline, drains, &mut table);
+            table.finish(&results)
+        }
         What::Cost { baseline } => {
             let mut table = Table::new("cost");
             cost::measure(&folder, &baseline, &mut table);
--- a/crates/heathspur-measure/src/table.rs
+++ b/crates/heathspur-measure/src/table.rs
@@ -40,7 +40,12 @@
         for (what, got, asked, holds) in &self.rows {
             page += &format!("| {what} | {got} | {asked} | {} |\n", if *holds { "yes" } else { "no" });
         }
-        page += "\n![Requests a second](pcap-rates.svg)\n\n![Latency](pcap-latency.svg)\n";
+        for (title, chart) in [("Requests a second", "rates"), ("Latency", "latency")] {
+            let file = format!("{}-{chart}.svg", self.name);
+            if results.join(&file).is_file() {
+                page += &format!("\n![{title}]({file})\n");
+            }
+        }
         let written = std::fs::write(results.join(format!("{}.md", self.name)), page);
         println!("{}: {verdict} {}", self.name, self.figures.join(", "));
         ExitCode::from(u8::from(!holds || written.is_err()))
