Add heathspurctl load: requests at their intended times, over HTTP/1.1 and HTTP/2

Two fronts need a load that drives both and can't be slowed by what it measures. heathspur-load decides without I/O: the plan (XML with a schema, mistakes with file, line and element, by the operator's reader, which takes any root now), the schedule (rand_distr: regular, exponential or log-normal distances, repeats of keyed requests with their key, by seed, one at a time) and the audit (hdrhistogram from the intended time, results of one key held against each other). heathspurctl load carries it out on async-io, with h2's client for HTTP/2, and writes a table, report.json and charts.

Tested: reader and schema against the same plans, rates within 3%, deviations of the distances, parts and repeats; as a process against the daemon on both ports (450 requests, all accounted for, no key ran twice), against a server that breaks connections (exit code 1), and with a plan that can't be used (line named).

--- a/crates/heathspur-operator/src/lib.rs
+++ b/crates/heathspur-operator/src/lib.rs
@@ -220,7 +220,48 @@
 impl std::error::Error for Fault {}
 
 /// A mistake in the text: the path of an element or attribute, and what is wrong with it.
-struct Mistake(String, String);
+pub struct Mistake(pub String, pub String);
+
+/// Reads the text of a file of ours, whose one element is `root`, and holds it against `check`.
+///
+/// # Errors
+/// The first mistake found, with its place.
+pub fn parse<T: for<'de> Deserialize<'de>>(
+    text: &str,
+    file: &Path,
+    root: &'static str,
+    check: impl FnOnce(&T) -> Result<(), Mistake>,
+) -> Result<T, Fault> {
+    let wrong = |(line, element): (usize, String), what| Fault::Wrong {
+        file: file.to_path_buf(),
+        line,
+        element,
+        what,
+    };
+    let places = Places::of(text, root).map_err(|(line, element, what)| wrong((line, element), what))?;
+    let mut from = quick_xml::de::Deserializer::from_str(text);
+    let read: Result<T, _> = serde_path_to_error::deserialize(&mut from);
+    let read = read.map_err(|e| {
+        let what = e.inner().to_string();
+        wrong(places.find(&e.path().to_string(), &what), locate::plain(&what))
+    })?;
+    check(&read).map_err(|Mistake(path, what)| wrong(places.find(&path, ""), what))?;
+    Ok(read)
+}
+
+/// Reads a whole file, [`LONGEST`] at most.
+///
+/// # Errors
+/// It can't be read, or is too long.
+pub fn read_text(file: &Path, root: &'static str) -> Result<String, Fault> {
+    let unread = |e| Fault::Unread(file.to_path_buf(), e);
+    let length = std::fs::metadata(file).map_err(unread)?.len();
+    if length > LONGEST {
+        let what = format!("{length} bytes, where {LONGEST} at most are expected");
+        return Err(Fault::Wrong { file: file.to_path_buf(), line: 1, element: root.into(), what });
+    }
+    std::fs::read_to_string(file).map_err(unread)
+}
 
 impl Operator {
     /// Reads a file. `memory` is what the process may use, in bytes, where it is known already.
@@ -228,13 +269,7 @@
     /// # Errors
     /// The first mistake found, with its place.
     pub fn read(file: &Path, memory: Option<u64>) -> Result<Operator, Fault> {
-        let unread = |e| Fault::Unread(file.to_path_buf(), e);
-        let length = std::fs::metadata(file).map_err(unread)?.len();
-        if length > LONGEST {
-            let what = format!("{length} bytes, where {LONGEST} at most are expected");
-            return Err(Fault::Wrong { file: file.to_path_buf(), line: 1, element: "operator".into(), what });
-        }
-        let text = std::fs::read_to_string(file).map_err(unread)?;
+        let text = read_text(file, "operator")?;
         Operator::parse(&text, file, memory)
     }
 
@@ -243,21 +278,7 @@
     /// # Errors
     /// The first mistake found, with its place.
     pub fn parse(text: &str, file: &Path, memory: Option<u64>) -> Result<Operator, Fault> {
-        let wrong = |(line, element): (usize, String), what| Fault::Wrong {
-            file: file.to_path_buf(),
-            line,
-            element,
-            what,
-        };
-        let places = Places::of(text).map_err(|(line, element, what)| wrong((line, element), what))?;
-        let mut from = quick_xml::de::Deserializer::from_str(text);
-        let read: Result<Operator, _> = serde_path_to_error::deserialize(&mut from);
-        let operator = read.map_err(|e| {
-            let what = e.inner().to_string();
-            wrong(places.find(&e.path().to_string(), &what), locate::plain(&what))
-        })?;
-        operator.check(memory).map_err(|Mistake(path, what)| wrong(places.find(&path, ""), what))?;
-        Ok(operator)
+        parse(text, file, "operator", |operator: &Operator| operator.check(memory))
     }
 
     /// What the schema can't say, and the bounds of values with units.
--- a/crates/heathspur-operator/src/locate.rs
+++ b/crates/heathspur-operator/src/locate.rs
@@ -9,11 +9,14 @@
 
 /// The line of each element and attribute by its path below the root: `record.mask[1].@header`; the first of a
 /// name has no number.
-pub(crate) struct Places(BTreeMap<String, usize>);
+pub(crate) struct Places {
+    lines: BTreeMap<String, usize>,
+    root: &'static str,
+}
 
 impl Places {
     /// Walks through the text; the error is line, element and what is wrong.
-    pub fn of(text: &str) -> Result<Places, (usize, String, String)> {
+    pub fn of(text: &str, root: &'static str) -> Result<Places, (usize, String, String)> {
         let mut reader = Reader::from_str(text);
         reader.config_mut().check_comments = true;
         let mut lines = Lines { text: text.as_bytes(), at: 0, line: 1 };
@@ -24,7 +27,7 @@
         loop {
             let at = reader.buffer_position() as usize;
             let event = reader.read_event();
-            let name = open.last().map_or("operator".to_string(), |(path, _)| last(path).to_string());
+            let name = open.last().map_or(root.to_string(), |(path, _)| last(path, root).to_string());
             let event = event.map_err(|e| {
                 let place = reader.error_position().min(text.len() as u64) as usize;
                 (lines.of(place), name.clone(), e.to_string())
@@ -35,7 +38,7 @@
                     if open.len() >= DEEPEST {
                         return Err((line, name, "elements stand too deep in each other".to_string()));
                     }
-                    let path = enter(start, line, &mut open, &mut roots, &mut places)?;
+                    let path = enter(start, line, root, &mut open, &mut roots, &mut places)?;
                     if matches!(event, Event::Start(_)) {
                         open.push((path, BTreeMap::new()));
                     }
@@ -52,13 +55,14 @@
             }
         }
         if let Some((path, _)) = open.last() {
-            let what = format!("`</{}>` is expected before the end", last(path));
-            return Err((lines.of(text.len()), last(path).to_string(), what));
+            let name = last(path, root).to_string();
+            let what = format!("`</{name}>` is expected before the end");
+            return Err((lines.of(text.len()), name, what));
         }
         if roots != 1 {
-            return Err((1, "operator".into(), "one element `operator` is expected".into()));
+            return Err((1, root.into(), format!("one element `{root}` is expected")));
         }
-        Ok(Places(places))
+        Ok(Places { lines: places, root })
     }
 
     /// Line and name for a path as serde gives it. An element or attribute that is unknown is looked for below
@@ -69,27 +73,27 @@
         let quoted = |start: &str| what.strip_prefix(start).and_then(|rest| rest.split('`').next());
         if let Some(again) = quoted("duplicate field `") {
             let second = format!("{}[1]", join(path, again));
-            if let Some(line) = self.0.get(&second) {
-                return (*line, shown(&second));
+            if let Some(line) = self.lines.get(&second) {
+                return (*line, shown(&second, self.root));
             }
         }
         if let Some(unknown) = quoted("unknown field `") {
             let path = path.strip_suffix(unknown).unwrap_or(path);
             let path = path.trim_end_matches('.');
             for below in [join(path, unknown), path.to_string()] {
-                if let Some(line) = self.0.get(&below) {
-                    return (*line, shown(&below));
+                if let Some(line) = self.lines.get(&below) {
+                    return (*line, shown(&below, self.root));
                 }
             }
         }
         let mut path = path;
         loop {
-            if let Some(line) = self.0.get(path) {
-                return (*line, shown(path));
+            if let Some(line) = self.lines.get(path) {
+                return (*line, shown(path, self.root));
             }
             match path.rfind('.') {
                 Some(at) => path = &path[..at],
-                None => return (self.0.get("").copied().unwrap_or(1), shown("")),
+                None => return (self.lines.get("").copied().unwrap_or(1), shown("", self.root)),
             }
         }
     }
@@ -105,6 +109,7 @@
 fn enter(
     start: &BytesStart<'_>,
     line: usize,
+    root: &str,
     open: &mut [(String, BTreeMap<String, usize>)],
     roots: &mut usize,
     places: &mut BTreeMap<String, usize>,
@@ -113,8 +118,8 @@
     let path = match open.last_mut() {
         None => {
             *roots += 1;
-            if name != "operator" || *roots > 1 {
-                return Err((line, name, "one element `operator` is expected".to_string()));
+            if name != root || *roots > 1 {
+                return Err((line, name, format!("one element `{root}` is expected")));
             }
             String::new()
         }
@@ -145,21 +150,21 @@
     }
 }
 
-fn last(path: &str) -> &str {
+fn last<'a>(path: &'a str, root: &'a str) -> &'a str {
     let name = path.rsplit('.').next().unwrap_or(path);
     let name = name.split('[').next().unwrap_or(name);
     if name.is_empty() {
-        "operator"
+        root
     } else {
         name
     }
 }
 
 /// `element`, or `element@attribute`.
-fn shown(path: &str) -> String {
+fn shown(path: &str, root: &str) -> String {
     match path.rsplit_once('@') {
-        Some((element, attribute)) => format!("{}@{attribute}", last(element.trim_end_matches('.'))),
-        None => last(path).to_string(),
+        Some((element, attribute)) => format!("{}@{attribute}", last(element.trim_end_matches('.'), root)),
+        None => last(path, root).to_string(),
     }
 }
 
--- a/crates/heathspurctl/src/charts.rs
+++ b/crates/heathspurctl/src/charts.rs
@@ -1,4 +1,4 @@
-//! Charts of a replay, as SVG.
+//! Charts, as SVG.
 
 use crate::load::Loaded;
 use heathspur_replay::plan::Plan;
@@ -12,7 +12,7 @@
 const STEPS: usize = 400;
 
 /// One curve: its name and its points.
-type Curve<'a> = (&'a str, Vec<(f64, f64)>);
+pub type Curve<'a> = (&'a str, Vec<(f64, f64)>);
 
 /// Requests intended, sent and answered in each second.
 pub fn rates(file: &Path, plan: &Plan, outcomes: &[Outcome]) -> io::Result<()> {
@@ -60,7 +60,8 @@
     (0..=STEPS).map(point).collect()
 }
 
-fn lines(file: &Path, title: &str, axes: (&str, &str), curves: &[Curve<'_>]) -> io::Result<()> {
+/// A chart of curves.
+pub fn lines(file: &Path, title: &str, axes: (&str, &str), curves: &[Curve<'_>]) -> io::Result<()> {
     let all = || curves.iter().flat_map(|(_, points)| points);
     let right = all().map(|(x, _)| *x).fold(1.0, f64::max);
     let top = all().map(|(_, y)| *y).fold(1.0, f64::max) * 1.05;
--- a/crates/heathspurctl/src/cli.rs
+++ b/crates/heathspurctl/src/cli.rs
@@ -1,13 +1,13 @@
 //! The command line.
 
 use crate::given::{Fault, Source};
-use crate::{config, cut, info, replay, requests};
+use crate::{config, cut, info, load_run, replay, requests};
 use clap::{CommandFactory, Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 const AFTER: &str = "\
-Exit codes: 0 done; 1 a replay lost a request or broke a rule, or a file is wrong; 2 a file or an argument can't \
+Exit codes: 0 done; 1 a replay or a load lost a request or broke a rule, or a file is wrong; 2 a file or an argument can't \
 be used; 3 the capture is damaged, and all before the place named was used.";
 
 /// Tools beside the heathspur daemon.
@@ -23,6 +23,8 @@
     /// Captures: what is in them, parts of them, sending them again.
     #[command(subcommand)]
     Pcap(Pcap),
+    /// Send requests at their intended times, by a plan, over HTTP/1.1 and HTTP/2.
+    Load(load_run::Options),
     /// The operator's file.
     #[command(subcommand)]
     Config(Config),
@@ -68,6 +70,7 @@
         Command::Pcap(Pcap::Requests(options)) => requests::run(&options),
         Command::Pcap(Pcap::Cut(options)) => cut::run(&options),
         Command::Pcap(Pcap::Replay(options)) => replay::run(&options),
+        Command::Load(options) => load_run::run(&options),
         Command::Config(Config::Check { file, memory }) => config::check(&file, memory),
         Command::Config(Config::Schema) => {
             print!("{}", heathspur_operator::SCHEMA);
--- a/crates/heathspurctl/src/main.rs
+++ b/crates/heathspurctl/src/main.rs
@@ -9,6 +9,8 @@
 mod given;
 mod info;
 mod load;
+mod load_run;
+mod load_target;
 mod replay;
 mod report;
 mod requests;
--- /dev/null
+++ b/crates/heathspurctl/tests/load.rs
@@ -0,0 +1,85 @@
+//! Load by a plan, as a process, to a server that speaks both protocols.
+
+use heathspur_rig::scripted::{Rig, Running};
+use heathspur_rig::sink::{Manner, Sink};
+use heathspur_rig::swift;
+use serde_json::Value;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn temporary(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("heathspurctl-load-{}-{name}", std::process::id()))
+}
+
+fn load(name: &str, targets: &str, more: &str) -> (Output, Value) {
+    let (plan, report) = (temporary(&format!("{name}.xml")), temporary(name));
+    let text = format!(
+        "<load xmlns=\"urn:heathspur:load:1\" patience=\"10 s\">{targets}\n\
+         <stage duration=\"500 ms\" rate=\"100\" arrivals=\"regular\"/><stage duration=\"1 s\" rate=\"200\"/>{more}</load>"
+    );
+    std::fs::write(&plan, text).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_heathspurctl"))
+        .arg("load")
+        .arg(&plan)
+        .arg("--report")
+        .arg(&report)
+        .output()
+        .unwrap();
+    let text = std::fs::read_to_string(report.join("report.json"));
+    let value = text.map_or(Value::Null, |text| serde_json::from_str(&text).unwrap());
+    for chart in ["rates.svg", "latency.svg"] {
+        assert_eq!(report.join(chart).is_file(), value.is_object(), "{chart}");
+    }
+    let _ = std::fs::remove_dir_all(&report);
+    let _ = std::fs::remove_file(&plan);
+    (output, value)
+}
+
+#[test]
+fn both_protocols_are_driven_and_all_that_was_due_is_accounted_for() {
+    let operator = temporary("operator.xml");
+    let text = "<operator xmlns=\"urn:heathspur:operator:1\"><http2 listen=\"127.0.0.1:0\"/></operator>";
+    std::fs::write(&operator, text).unwrap();
+    let rig = Rig::operated_with(&operator, |c| {
+        c["settings"]["realms"][0]["quota-per-s"] = 1e6.into();
+        c["settings"]["family-info"]["calls-by-class"] = serde_json::json!([false, false]);
+    });
+    let (http1, http2) = (rig.address, rig.further());
+    let runs = swift::interpreter(rig.vm.try_clone().unwrap());
+    let targets = format!(
+        "<target protocol=\"http1\" address=\"{http1}\"/><target protocol=\"http2\" address=\"{http2}\" connections=\"2\"/>"
+    );
+    let classes = "<class name=\"look\" tenant=\"north\"/>\
+                   <class name=\"pay\" tenant=\"north\" keyed=\"true\" repeats=\"0.5\" repeat-after=\"50 ms\" body=\"32 B\"/>";
+    let (output, report) = load("both", &targets, classes);
+    let said = String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned();
+    assert_eq!(output.status.code(), Some(0), "{said}");
+    assert_eq!((&report["unanswered"], &report["differ"]), (&0.into(), &0.into()), "{said}");
+    let parts = report["parts"].as_array().unwrap();
+    assert_eq!(parts.len(), 4, "{said}");
+    for part in parts {
+        let answered: u64 = part["statuses"].as_object().unwrap().values().map(|n| n.as_u64().unwrap()).sum();
+        assert_eq!(part["due"].as_u64(), Some(answered), "{said}");
+        assert!(part["statuses"]["200"].as_u64().unwrap() > 0, "{said}");
+    }
+    assert!(runs.lock().unwrap().values().all(|&count| count == 1), "a key ran twice");
+    let _ = std::fs::remove_file(&operator);
+    let _: &Running = &rig.process;
+}
+
+#[test]
+fn answers_that_never_come_show_in_the_exit_code() {
+    let sink = Sink::start(Manner { break_after: 3, ..Manner::default() });
+    let target = format!("<target protocol=\"http1\" address=\"{}\"/>", sink.address);
+    let (output, report) = load("broken", &target, "<class name=\"look\"/>");
+    assert_eq!(output.status.code(), Some(1));
+    assert!(report["unanswered"].as_u64().unwrap() > 10, "{report}");
+}
+
+#[test]
+fn a_plan_that_cannot_be_used_says_where() {
+    let (output, report) = load("wrong", "<target protocol=\"http1\" address=\"127.0.0.1:1\"/>", "<class/>");
+    assert_eq!((output.status.code(), report), (Some(2), Value::Null));
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(said.contains(".xml:2: class: missing field `name`"), "{said}");
+}
