--- /dev/null
+++ b/crates/heathspurd/src/http1/answer.rs
@@ -0,0 +1,74 @@
+//! The one final answer of each request, back to the connection it came on.
+
+use crate::clock::within;
+use crate::front::Desk;
+use crate::reply::Words;
+use crate::room::Room;
+use crate::tape::Stream;
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use heathspur_wire::http::{self, Last};
+use std::io;
+use std::net::Shutdown;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What is turned away is read off for so long, and so far, before its connection is closed.
+const LINGER: Duration = Duration::from_secs(1);
+const LINGER_BYTES: usize = 16 << 20;
+/// A peer that takes none of its answer for so long is left.
+const SLOW: Duration = Duration::from_secs(10);
+
+/// Writes an answer; an error means that the connection is of no more use.
+pub(crate) async fn write(stream: &Stream, desk: &Desk, words: &Words, last: Last) -> io::Result<()> {
+    let mut out = Vec::with_capacity(256 + words.body.len());
+    http::write_answer(&mut out, words.status, &words.fields, last, &words.body);
+    match &desk.room {
+        None => put(stream, &out).await,
+        Some(room) => put_in_room(stream, room, &out).await,
+    }
+}
+
+/// Answers what is no request that can be taken, and ends its connection.
+pub(crate) async fn turn_away(stream: &Stream, status: u16) {
+    let mut out = Vec::new();
+    http::write_answer(&mut out, status, &[], Last::Yes, b"");
+    // The connection ends either way.
+    let _ = put(stream, &out).await;
+    let _ = within(LINGER, linger(stream)).await;
+}
+
+/// Reads off what the other side still sends. Closing on unread bytes would reset the connection, and the
+/// answer could be lost with it.
+async fn linger(mut stream: &Stream) -> io::Result<()> {
+    stream.get_ref().shutdown(Shutdown::Write)?;
+    let (mut chunk, mut left) = (vec![0; 8 * 1024], LINGER_BYTES);
+    while left > 0 {
+        match stream.read(&mut chunk).await? {
+            0 => break,
+            n => left = left.saturating_sub(n),
+        }
+    }
+    Ok(())
+}
+
+async fn put(mut stream: &Stream, out: &[u8]) -> io::Result<()> {
+    within(SLOW, stream.write_all(out)).await
+}
+
+/// The same under a budget of memory that other fronts share: what a slow reader leaves lying is held in it, and
+/// given up with the connection when others need the room.
+async fn put_in_room(mut stream: &Stream, room: &Rc<Room>, out: &[u8]) -> io::Result<()> {
+    let written = match future::poll_once(stream.write(out)).await {
+        Some(written) => written?,
+        None => 0,
+    };
+    if written == out.len() {
+        return Ok(());
+    }
+    let held = room.hold(room.holder(), out.len() - written);
+    let crowded = async {
+        held.crowded().await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    future::or(put(stream, &out[written..]), crowded).await
+}
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -1,37 +1,49 @@
 //! heathspur's decisions on sockets: one server of a fleet, as a library that others can embed.
 //!
-//! A request passes `take_in` (read), `admit` (known and linked), `route` (what the module wants done),
-//! `send` (to interpreter and store), `relay` (the answer) and `book` (given back). One task, [`owner`],
-//! owns the module and all requests; connections and links only carry bytes to it and from it.
+//! A request comes through a front (`http1`: read and checked), `admit` (known and linked), `route` (what the module
+//! wants done), `send` (to interpreter and store) and `book` (answered, given back). One task (`work`) owns the module
+//! and all requests; fronts and links only carry bytes to it and from it, and the owner knows no protocol.
 #![forbid(unsafe_code)]
 
 pub mod cli;
 pub mod config;
 
+mod accept;
 mod admit;
 mod announce;
+mod bell;
 mod book;
 mod clock;
 mod crowd;
+mod front;
+mod hear;
+mod http1;
+mod http2;
 mod inbox;
+mod intake;
 mod interpreter;
 mod keys;
 mod link;
 mod log;
 mod owner;
 mod record;
-mod relay;
+mod reply;
+mod request;
+mod room;
 mod route;
 mod send;
+mod serve;
 mod signals;
 mod store;
-mod take_in;
+mod table;
 mod tape;
+mod work;
 
 use async_executor::LocalExecutor;
 use config::Config;
 use heathspur_operator::Operator;
 use record::Recording;
+use serve::Listeners;
 use std::fmt;
 use std::io;
 use std::net::TcpListener;
@@ -94,7 +106,11 @@
 pub fn serve(config: Config, operator: Operator) -> Result<(), Fault> {
     // Signals first: from the moment that others can connect, none of them ends the process by itself.
     let notice = signals::notices().map_err(Fault::Signals)?;
-    let listener = TcpListener::bind(config.listen).map_err(|e| Fault::Bind(config.listen, e))?;
+    let bind = |address| TcpListener::bind(address).map_err(|e| Fault::Bind(address, e));
+    let listeners = Listeners {
+        http1: bind(config.listen)?,
+        http2: operator.http2.clone().map(|http2| Ok((bind(http2.listen)?, http2))).transpose()?,
+    };
     let recording = match &operator.record {
         Some(record) => Some(Recording::start(&config.name, record).map_err(Fault::Thread)?),
         None => None,
@@ -102,7 +118,7 @@
     let tap = recording.as_ref().map(|recording| recording.tap.clone());
     let executor = Rc::new(LocalExecutor::new());
     let served =
-        async_io::block_on(executor.run(owner::serve(executor.clone(), config, listener, notice, tap)));
+        async_io::block_on(executor.run(serve::serve(executor.clone(), config, listeners, notice, tap)));
     // What streams are left hold the tap.
     drop(executor);
     if let Some(recording) = recording {
