Read nobody who reads nothing, and let go of unread answers before the stop

To blame: wire.rs read on while its socket took nothing, so each further HEADERS left a refusal's frame and its stream in the library; and blocked answers waited for their own deadline, so the process ended 50 ms before it would be killed, with thousands of streams to drop. Now a stuck connection is not read, and once nothing new is taken unread answers are let go of 300 ms before the stop. Test: each of 199 stalled streams is told of its reset before the process ends; without the change they end with the connection.

--- a/crates/heathspurd/src/front.rs
+++ b/crates/heathspurd/src/front.rs
@@ -9,11 +9,14 @@
 use crate::room::Room;
 use crate::tape::Tap;
 use async_channel::{Receiver, Sender};
+use async_io::Timer;
 use bytes::Bytes;
+use futures_lite::future;
 use heathspur::{ClassId, RequestId, Span, TenantId};
 use heathspur_settings::Names;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Instant;
 
 /// The name of a try on the wire: 16 hexadecimal digits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -84,6 +87,8 @@
     pub free_value: Cell<Option<f64>>,
     /// Every answer is the last on its connection.
     pub leaving: Cell<bool>,
+    /// By when fronts let go of answers that nobody reads, once nothing new is taken.
+    pub let_go: Cell<Option<Instant>>,
     /// Closed, never sent on, once no new request is taken: idle connections close.
     pub shutting: Receiver<()>,
     /// Where traffic is recorded, if it is.
@@ -112,6 +117,7 @@
             idle: Cell::new(idle),
             free_value: Cell::new(None),
             leaving: Cell::new(false),
+            let_go: Cell::new(None),
             shutting,
             tap,
             crowd,
@@ -126,6 +132,20 @@
         RequestId(id)
     }
 
+    /// Ends when nothing new is taken and answers that nobody reads are to be let go of.
+    pub async fn released(&self) {
+        self.shut().await;
+        match self.let_go.get() {
+            Some(at) => drop(Timer::at(at).await),
+            None => future::pending().await,
+        }
+    }
+
+    /// Whether that time has come.
+    pub fn is_released(&self) -> bool {
+        self.shutting.is_closed() && self.let_go.get().is_some_and(|at| at <= Instant::now())
+    }
+
     /// Ends once no new request is taken. The channel is closed then; nothing is ever sent on it.
     pub async fn shut(&self) {
         self.shutting.recv().await.unwrap_or(());
--- a/crates/heathspurd/src/http2/mod.rs
+++ b/crates/heathspurd/src/http2/mod.rs
@@ -249,7 +249,7 @@
             );
             return end(h2, Reason::ENHANCE_YOUR_CALM).await;
         }
-        if conn.seen.stuck_for() >= patience.stalled.0 {
+        if conn.seen.stuck_for() >= patience.stalled.0 || conn.seen.is_stuck() && desk.is_released() {
             debug!("a connection was ended: nothing was read of it");
             return;
         }
@@ -274,9 +274,12 @@
             Some(Err(_)) | None => Woken::Over,
         })
     });
+    let desk = &conn.shared.front.desk;
     let shutting = async {
         match shut {
-            false => conn.shared.front.desk.shut().await,
+            false => desk.shut().await,
+            // Later than that only the clock is looked at.
+            true if !desk.is_released() => desk.released().await,
             true => future::pending().await,
         }
         Woken::Shut
--- a/crates/heathspurd/src/http2/stream.rs
+++ b/crates/heathspurd/src/http2/stream.rs
@@ -196,7 +196,10 @@
             }
         };
         let late = async {
-            Timer::at(until).await;
+            let timed = async {
+                Timer::at(until).await;
+            };
+            future::or(timed, conn.shared.front.desk.released()).await;
             Event::Late
         };
         let crowded = async {
--- a/crates/heathspurd/src/http2/wire.rs
+++ b/crates/heathspurd/src/http2/wire.rs
@@ -57,6 +57,11 @@
         self.turn.set(0);
     }
 
+    /// Whether the socket takes nothing now.
+    pub fn is_stuck(&self) -> bool {
+        self.stuck.get().is_some()
+    }
+
     /// How long the socket has taken nothing.
     pub fn stuck_for(&self) -> std::time::Duration {
         self.stuck.get().map(|since| since.elapsed()).unwrap_or_default()
@@ -78,7 +83,7 @@
 
     /// Waits while the socket takes nothing: the library holds what a stream has left behind until then.
     pub async fn settled(&self) {
-        self.until(|seen| seen.stuck.get().is_none()).await;
+        self.until(|seen| !seen.is_stuck()).await;
     }
 
     async fn until(&self, test: impl Fn(&Seen) -> bool) {
@@ -131,6 +136,11 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
+        if seen.is_stuck() {
+            // Who reads nothing is not read either: each frame of it may leave one of ours behind. The library is
+            // polled again once the socket takes something.
+            return Poll::Pending;
+        }
         if seen.meter.borrow().is_used_up() {
             // Nothing more is read; the connection's task ends it.
             cx.waker().wake_by_ref();
--- a/crates/heathspurd/src/work.rs
+++ b/crates/heathspurd/src/work.rs
@@ -194,6 +194,7 @@
         // The last answers are given before the stop that the module is told; they are on their way then.
         self.leaving = Some((self.now + shut, self.now + span(stop + EARLY / 2)));
         self.desk.leaving.set(true);
+        self.desk.let_go.set(Some(self.clock.instant(self.now + span(stop.saturating_sub(LEAVE)))));
         self.desk.crowd.tell_closed(self.closed.clone());
         self.events.push(Event::Drain(span(stop)));
     }
--- a/crates/heathspurd/tests/http2.rs
+++ b/crates/heathspurd/tests/http2.rs
@@ -451,6 +451,8 @@
         std::thread::sleep(std::time::Duration::from_millis(20));
     }
     assert_eq!(rig.process.wait().code(), Some(0));
+    // They were let go of before the end: whoever still listens is told so on each stream.
+    assert!(ids.iter().all(|id| caller.ended(*id) != Ended::Closed));
 }
 
 #[test]
