Read no further while streams that were read wait to be taken

To blame: each look for a stream let the library read 16 KiB more first, some 80 requests, and gave one back; with 1,000 streams allowed on each of 50 connections it kept up to 50,000 decoded heads.

--- a/crates/heathspurd/src/http2/mod.rs
+++ b/crates/heathspurd/src/http2/mod.rs
@@ -269,7 +269,9 @@
     let mut accepted = pin!(h2.accept());
     let stream = future::poll_fn(|cx| {
         conn.seen.begin_turn();
-        accepted.as_mut().poll(cx).map(|accepted| match accepted {
+        let polled = accepted.as_mut().poll(cx);
+        conn.seen.took_one(polled.is_ready());
+        polled.map(|accepted| match accepted {
             Some(Ok(asked)) => Woken::Stream(Box::new(asked)),
             Some(Err(_)) | None => Woken::Over,
         })
--- a/crates/heathspurd/src/http2/wire.rs
+++ b/crates/heathspurd/src/http2/wire.rs
@@ -25,6 +25,7 @@
     start: Instant,
     pub meter: RefCell<Meter>,
     turn: Cell<usize>,
+    behind: Cell<bool>,
     /// Since when the socket has taken nothing although there was something to be sent.
     stuck: Cell<Option<Instant>>,
     /// Bytes of answers handed to the library and not seen on the socket yet, as far as can be told: its own
@@ -40,6 +41,7 @@
             start: Instant::now(),
             meter: RefCell::new(Meter::new(Time(0))),
             turn: Cell::new(0),
+            behind: Cell::new(false),
             stuck: Cell::new(None),
             queued: Cell::new(0),
             flowed: Bell::new(),
@@ -52,9 +54,15 @@
         Time(self.start.elapsed().as_micros() as u64)
     }
 
-    /// A new turn of this connection.
+    /// A new turn of this connection. While streams that were read wait to be taken no more are read: the library
+    /// would keep them all, whole heads at a time.
     pub fn begin_turn(&self) {
-        self.turn.set(0);
+        self.turn.set(if self.behind.get() { TURN } else { 0 });
+    }
+
+    /// Whether a stream was there to be taken, so that there may be more of them.
+    pub fn took_one(&self, took: bool) {
+        self.behind.set(took);
     }
 
     /// Whether the socket takes nothing now.
