--- a/crates/heathspur-rig/src/scripted.rs
+++ b/crates/heathspur-rig/src/scripted.rs
@@ -58,8 +58,12 @@
     file
 }
 
-/// A program of this workspace, built beside the one that runs: tests lie a folder below.
+/// A program of this workspace: from the folder that `HEATHSPUR_PROGRAMS` names, else the one built beside the
+/// one that runs; tests lie a folder below.
 pub fn built(name: &str) -> PathBuf {
+    if let Some(folder) = std::env::var_os("HEATHSPUR_PROGRAMS") {
+        return PathBuf::from(folder).join(name).canonicalize().expect("the program is there");
+    }
     let this = std::env::current_exe().unwrap();
     let folders = this.ancestors().skip(1).take(3);
     folders.map(|folder| folder.join(name)).find(|file| file.is_file()).expect("the program is built")
