Keep the fleet's view without I/O: SWIM with Lifeguard, push-pull, bounded, in the emulator

The membership core (heathspur-members) takes datagrams, ticks, join and leave and gives datagrams to send and changes of state: probes each period, indirect probes through k others, suspicion before death, refutation by incarnation, news piggybacked and gossiped about lambda log N times, push-pull of the whole view in parts under 1,200 bytes, now and then to a dead member so that healed halves meet. Lifeguard: local health slows a slow member's accusations, confirmations shorten suspicion, the suspect is told on the probe. A death said by another is heard as a suspicion, so each member runs its own timer and a healed partition kills nobody who answers.

Bad input (garbage, other versions, oversized, an id from another address, incarnations far ahead) is counted, told once a period with the last sender, and dropped; table, queue and a peer's datagrams a second are bounded.

The emulator (heathspur-emulator) runs the same core on a seeded network: loss, delay and jitter, duplication, sides, one-way cuts, pauses, slow members, clock rates. On fixed seeds: 50 join through one seed; a crash known to all, the restart back with a higher incarnation; a 8|12 partition merges after heal; a member slow by 500 ms with 10% loss, a 3 s pause, 20% loss on every link: no false death.

--- /dev/null
+++ b/crates/heathspur-emulator/tests/members.rs
@@ -0,0 +1,92 @@
+//! The membership core in the emulator: joins, crashes, partitions, slow members and loss, on fixed seeds.
+
+use heathspur_emulator::{Faults, Fleet};
+use heathspur_members::{Settings, State};
+
+fn fleet(members: usize, seed: u64) -> Fleet {
+    Fleet::new(members, 3, Settings::default(), seed)
+}
+
+#[test]
+fn fifty_join_through_one_seed_and_all_see_all() {
+    let mut fleet = fleet(50, 1);
+    assert!(fleet.run_while(30_000, Fleet::settled), "not one view after 30 s");
+    assert_eq!(fleet.false_deaths(|_, _| true), 0);
+}
+
+#[test]
+fn a_crash_is_known_to_all_then_the_restart_rejoins_higher() {
+    let mut fleet = fleet(30, 2);
+    assert!(fleet.run_while(30_000, Fleet::settled));
+    let before = fleet.nodes[7].core.as_ref().map(|c| c.incarnation()).unwrap();
+    let at = fleet.now;
+    fleet.crash(7);
+    let all = fleet.running_but(7);
+    assert!(fleet.run_while(at + 15_000, |f| f.know_gone(7) == all), "not all knew of the crash in 15 s");
+    fleet.start(7);
+    let at = fleet.now;
+    assert!(fleet.run_while(at + 20_000, Fleet::settled), "the restarted member did not rejoin");
+    let after = fleet.nodes[3].core.as_ref().unwrap().entry(&fleet.nodes[7].member.id).unwrap().incarnation;
+    assert!(after > before, "incarnation {after} not above {before}");
+}
+
+#[test]
+fn a_healed_partition_becomes_one_view_again() {
+    let mut fleet = fleet(20, 3);
+    assert!(fleet.run_while(30_000, Fleet::settled));
+    fleet.faults.sides = Faults::split(20, 8);
+    let at = fleet.now;
+    fleet.run_until(at + 10_000);
+    // Each half has taken the other for dead by now.
+    assert!(fleet.know_gone(0) >= 11);
+    fleet.faults.sides.clear();
+    let at = fleet.now;
+    assert!(fleet.run_while(at + 60_000, Fleet::settled), "the halves did not merge within 60 s");
+}
+
+#[test]
+fn with_lifeguard_a_slow_member_is_not_taken_for_dead_nor_are_others() {
+    let mut fleet = fleet(20, 4);
+    assert!(fleet.run_while(30_000, Fleet::settled));
+    fleet.faults.loss = 0.10;
+    fleet.nodes[5].slow_ms = 500;
+    let at = fleet.now;
+    fleet.run_until(at + 120_000);
+    assert_eq!(fleet.false_deaths(|_, _| true), 0);
+}
+
+#[test]
+fn a_pause_of_three_seconds_is_refuted_in_time() {
+    let mut fleet = fleet(12, 5);
+    assert!(fleet.run_while(30_000, Fleet::settled));
+    fleet.nodes[4].paused_until = fleet.now + 3_000;
+    let at = fleet.now;
+    fleet.run_until(at + 20_000);
+    assert_eq!(fleet.false_deaths(|_, _| true), 0);
+    assert!(fleet.settled());
+}
+
+#[test]
+fn twenty_percent_loss_on_every_link_kills_nobody() {
+    let mut fleet = fleet(15, 6);
+    assert!(fleet.run_while(30_000, Fleet::settled));
+    fleet.faults.loss = 0.20;
+    fleet.faults.duplicate = 0.05;
+    fleet.faults.jitter_ms = 30;
+    let at = fleet.now;
+    fleet.run_until(at + 60_000);
+    assert_eq!(fleet.false_deaths(|_, _| true), 0);
+}
+
+#[test]
+fn a_member_that_leaves_is_seen_to_leave_not_to_die() {
+    let mut fleet = fleet(10, 7);
+    assert!(fleet.run_while(30_000, Fleet::settled));
+    fleet.leave(2);
+    let at = fleet.now;
+    fleet.run_until(at + 2_000);
+    fleet.crash(2);
+    let all = fleet.running_but(2);
+    assert!(fleet.run_while(at + 10_000, |f| f.know_gone(2) == all));
+    assert!(fleet.seen.iter().filter(|s| s.of.0 == "m2").all(|s| s.to != Some(State::Dead)));
+}
--- /dev/null
+++ b/crates/heathspur-members/src/merge.rs
@@ -0,0 +1,192 @@
+//! How news of a member is taken in: incarnations order it, and no peer is trusted further than that.
+
+use crate::core::{Action, Cause, Entry, Members};
+use crate::member::{Id, State};
+use crate::suspicion::Suspicion;
+use crate::wire::{Body, Update};
+use std::net::SocketAddrV4;
+
+/// An incarnation further ahead of the known one than this is taken for garbage: a restarted member's derived
+/// incarnation (seconds) moves by far less.
+pub(crate) const FAR_AHEAD: u64 = 1 << 34;
+/// No incarnation is taken above this, so that refutation can always count past it.
+pub(crate) const HIGHEST: u64 = 1 << 48;
+
+impl Members {
+    pub(crate) fn apply(
+        &mut self,
+        update: &Update,
+        sender: &Id,
+        source: SocketAddrV4,
+        out: &mut Vec<Action>,
+    ) {
+        if !update.member.well_formed() || update.incarnation > HIGHEST {
+            self.refusals.future += update.member.well_formed() as u64;
+            self.refusals.garbage += !update.member.well_formed() as u64;
+            self.last_sender = Some(source);
+            return;
+        }
+        if update.member.id == self.me.id {
+            self.about_me(update, source, out);
+            return;
+        }
+        let from_itself = *sender == update.member.id && source == update.member.address;
+        let Some(entry) = self.table.get(&update.member.id) else {
+            self.newcomer(update, out);
+            return;
+        };
+        if update.incarnation > entry.incarnation.saturating_add(FAR_AHEAD) {
+            self.refusals.future += 1;
+            self.last_sender = Some(source);
+            return;
+        }
+        if update.member.address != entry.member.address && !from_itself {
+            // Another address under a known id: only the member itself, from that address, moves it.
+            self.refusals.conflict += 1;
+            self.last_sender = Some(source);
+            return;
+        }
+        let (state, incarnation) = (entry.state, entry.incarnation);
+        let id = update.member.id.clone();
+        match update.state {
+            State::Alive if update.incarnation > incarnation => {
+                self.table.get_mut(&id).expect("present").member = update.member.clone();
+                let cause = if state == State::Alive { Cause::Heard } else { Cause::Refuted };
+                self.set(&id, State::Alive, update.incarnation, cause, out);
+                self.spread.push(update.clone());
+            }
+            State::Alive if update.incarnation == incarnation && state == State::Alive && from_itself => {
+                // Its load and epoch, first hand; not spread further, since each member speaks for itself.
+                let entry = self.table.get_mut(&id).expect("present");
+                if entry.member != update.member {
+                    entry.member = update.member.clone();
+                    self.version += 1;
+                }
+            }
+            State::Suspect | State::Dead if state.live() && update.incarnation >= incarnation => {
+                // A death said by another is heard as a suspicion: every member runs its own timer, so a
+                // healed partition's news of the other half does not kill members that answer here.
+                self.suspect(&id, update.incarnation, sender.clone(), Cause::Heard, out);
+            }
+            State::Left if update.incarnation >= incarnation && state != State::Left => {
+                self.set(&id, State::Left, update.incarnation, Cause::Left, out);
+                self.spread.push(update.clone());
+            }
+            _ => {}
+        }
+    }
+
+    fn newcomer(&mut self, update: &Update, out: &mut Vec<Action>) {
+        if !update.state.live() {
+            return;
+        }
+        if self.table.len() + 1 >= self.settings.max_members {
+            self.refusals.table_full += 1;
+            return;
+        }
+        let id = update.member.id.clone();
+        self.table.insert(
+            id.clone(),
+            Entry {
+                member: update.member.clone(),
+                state: State::Alive,
+                incarnation: update.incarnation,
+                since: self.now,
+                suspicion: None,
+            },
+        );
+        self.version += 1;
+        out.push(Action::Changed {
+            id: id.clone(),
+            to: Some(State::Alive),
+            incarnation: update.incarnation,
+            cause: Cause::Joined,
+        });
+        self.spread.push(Update {
+            state: State::Alive,
+            incarnation: update.incarnation,
+            member: update.member.clone(),
+        });
+        if update.state == State::Suspect {
+            self.suspect(&id, update.incarnation, id.clone(), Cause::Heard, out);
+        }
+    }
+
+    fn about_me(&mut self, update: &Update, source: SocketAddrV4, out: &mut Vec<Action>) {
+        if update.state == State::Alive || self.leaving {
+            return;
+        }
+        if update.incarnation > self.incarnation.saturating_add(FAR_AHEAD) {
+            self.refusals.future += 1;
+            self.last_sender = Some(source);
+            return;
+        }
+        if update.incarnation < self.incarnation {
+            return;
+        }
+        // Refute: only this member raises its own incarnation.
+        self.incarnation = update.incarnation + 1;
+        self.version += 1;
+        if self.settings.lifeguard {
+            self.awareness = (self.awareness + 1).min(self.settings.awareness_max);
+        }
+        out.push(Action::Incarnation(self.incarnation));
+        self.spread.push(self.me_update());
+        // The refutation goes out at once, to who told us and to a few more, not at the next round.
+        self.send(source, Body::Gossip, true, out);
+        self.gossip_now(out);
+    }
+
+    /// `by` suspects `id` at `incarnation`: a new suspicion, or a confirmation of one running.
+    pub(crate) fn suspect(&mut self, id: &Id, incarnation: u64, by: Id, cause: Cause, out: &mut Vec<Action>) {
+        let count = self.live_count();
+        let (least, most) = self.settings.suspicion_ms(count);
+        let lifeguard = self.settings.lifeguard;
+        let expected = if lifeguard { self.settings.indirect } else { 0 };
+        let now = self.now;
+        let Some(entry) = self.table.get_mut(id) else { return };
+        if !entry.state.live() || incarnation < entry.incarnation {
+            return;
+        }
+        if entry.state == State::Suspect && incarnation == entry.incarnation {
+            if lifeguard {
+                if let Some(suspicion) = entry.suspicion.as_mut() {
+                    if suspicion.confirm(by) {
+                        // A confirmation is news too: others' timers shorten by it.
+                        let update =
+                            Update { state: State::Suspect, incarnation, member: entry.member.clone() };
+                        self.spread.push(update);
+                    }
+                }
+            }
+            return;
+        }
+        // Without Lifeguard a suspicion lasts its least, as SWIM has it.
+        let most = if lifeguard { most } else { least };
+        entry.suspicion = Some(Suspicion::new(now, least, most, expected, by));
+        let member = entry.member.clone();
+        self.set(id, State::Suspect, incarnation, cause, out);
+        self.spread.push(Update { state: State::Suspect, incarnation, member });
+    }
+
+    pub(crate) fn set_state(&mut self, id: &Id, to: State, cause: Cause, out: &mut Vec<Action>) {
+        let incarnation = self.table.get(id).map_or(0, |e| e.incarnation);
+        self.set(id, to, incarnation, cause, out);
+    }
+
+    fn set(&mut self, id: &Id, to: State, incarnation: u64, cause: Cause, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(entry) = self.table.get_mut(id) else { return };
+        let changed = entry.state != to;
+        entry.incarnation = incarnation;
+        if to != State::Suspect {
+            entry.suspicion = None;
+        }
+        if changed {
+            entry.state = to;
+            entry.since = now;
+            out.push(Action::Changed { id: id.clone(), to: Some(to), incarnation, cause });
+        }
+        self.version += 1;
+    }
+}
--- /dev/null
+++ b/crates/heathspur-members/src/suspicion.rs
@@ -0,0 +1,42 @@
+//! A suspicion's timer, shortened by independent confirmations (Lifeguard, section 4.2).
+
+use crate::member::Id;
+use std::collections::BTreeSet;
+
+/// One member under suspicion.
+#[derive(Clone, Debug)]
+pub struct Suspicion {
+    started: u64,
+    least: u64,
+    most: u64,
+    expected: usize,
+    confirmers: BTreeSet<Id>,
+}
+
+impl Suspicion {
+    /// A suspicion raised at `now` by `by`, lasting `least` to `most`, shortened by up to `expected` others.
+    pub fn new(now: u64, least: u64, most: u64, expected: usize, by: Id) -> Suspicion {
+        let mut confirmers = BTreeSet::new();
+        confirmers.insert(by);
+        Suspicion { started: now, least, most: most.max(least), expected, confirmers }
+    }
+
+    /// Another member suspects the same; says whether it was new. Bounded by the expected count.
+    pub fn confirm(&mut self, by: Id) -> bool {
+        if self.confirmers.len() > self.expected {
+            return false;
+        }
+        self.confirmers.insert(by)
+    }
+
+    /// When the suspect is taken for dead: `most`, falling by the log of confirmations to `least`.
+    pub fn deadline(&self) -> u64 {
+        let confirmed = self.confirmers.len().saturating_sub(1) as f64;
+        if self.expected == 0 {
+            return self.started + self.least;
+        }
+        let fraction = ((confirmed + 1.0).ln() / (self.expected as f64 + 1.0).ln()).min(1.0);
+        let span = self.most as f64 - (self.most - self.least) as f64 * fraction;
+        self.started + (span as u64).max(self.least)
+    }
+}
--- /dev/null
+++ b/crates/heathspur-members/tests/input.rs
@@ -0,0 +1,170 @@
+//! Bad input is counted and dropped; bounds hold; nothing a peer sends makes a member panic.
+
+use heathspur_members::wire::{self, Body, Envelope, Update, LARGEST};
+use heathspur_members::{Action, Event, Id, Load, Member, Members, Settings, State};
+use proptest::prelude::*;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+fn member(i: u8) -> Member {
+    Member {
+        id: Id(format!("m{i}")),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7000 + i as u16),
+        zone: "z".into(),
+        region: "r".into(),
+        version: 1,
+        load: Load::default(),
+        epoch: 0,
+    }
+}
+
+fn core() -> Members {
+    Members::new(Settings::default(), member(0), 10, vec![], 1)
+}
+
+fn deliver(core: &mut Members, from: SocketAddrV4, envelope: &Envelope) -> Vec<Action> {
+    let mut out = Vec::new();
+    core.handle(1, Event::Datagram { from, bytes: &wire::encode(envelope).unwrap() }, &mut out);
+    out
+}
+
+fn alive(i: u8, incarnation: u64) -> Update {
+    Update { state: State::Alive, incarnation, member: member(i) }
+}
+
+#[test]
+fn garbage_oversized_and_other_versions_are_told_apart() {
+    let mut core = core();
+    let from = member(9).address;
+    let mut out = Vec::new();
+    core.handle(1, Event::Datagram { from, bytes: b"GET / HTTP/1.1\r\n" }, &mut out);
+    core.handle(1, Event::Datagram { from, bytes: &[0u8; LARGEST + 1] }, &mut out);
+    let mut good =
+        wire::encode(&Envelope { from: Id("m9".into()), body: Body::Gossip, updates: vec![] }).unwrap();
+    good[2] = 99;
+    core.handle(1, Event::Datagram { from, bytes: &good }, &mut out);
+    good[2] = wire::VERSION;
+    good.pop();
+    core.handle(1, Event::Datagram { from, bytes: &good }, &mut out);
+    let counts = core.refusals();
+    assert_eq!((counts.garbage, counts.oversized, counts.version), (2, 1, 1));
+    assert_eq!(core.view().members.len(), 1);
+    core.handle(2_000, Event::Tick, &mut out);
+    assert!(out
+        .iter()
+        .any(|a| matches!(a, Action::Refused(told) if told.new == 4 && told.last_sender == Some(from))));
+}
+
+#[test]
+fn another_address_under_a_known_id_is_refused() {
+    let mut core = core();
+    let envelope = Envelope { from: Id("m1".into()), body: Body::Gossip, updates: vec![alive(1, 5)] };
+    deliver(&mut core, member(1).address, &envelope);
+    let mut thief = alive(1, 50);
+    thief.member.address = member(66).address;
+    deliver(
+        &mut core,
+        member(2).address,
+        &Envelope { from: Id("m2".into()), body: Body::Gossip, updates: vec![thief] },
+    );
+    let entry = core.entry(&Id("m1".into())).unwrap();
+    assert_eq!((entry.member.address, entry.incarnation), (member(1).address, 5));
+    assert_eq!(core.refusals().conflict, 1);
+}
+
+#[test]
+fn updates_from_the_far_future_are_dropped() {
+    let mut core = core();
+    let envelope = Envelope { from: Id("m1".into()), body: Body::Gossip, updates: vec![alive(1, 5)] };
+    deliver(&mut core, member(1).address, &envelope);
+    let far = Update { state: State::Dead, incarnation: 1 << 50, member: member(1) };
+    let mut about_me = far.clone();
+    about_me.member = member(0);
+    deliver(
+        &mut core,
+        member(1).address,
+        &Envelope { from: Id("m1".into()), body: Body::Gossip, updates: vec![far, about_me] },
+    );
+    assert_eq!(core.entry(&Id("m1".into())).unwrap().state, State::Alive);
+    assert_eq!(core.incarnation(), 10);
+    assert_eq!(core.refusals().future, 2);
+}
+
+#[test]
+fn a_suspicion_of_itself_is_refuted_with_a_higher_incarnation() {
+    let mut core = core();
+    let suspect = Update { state: State::Suspect, incarnation: 12, member: member(0) };
+    let out = deliver(
+        &mut core,
+        member(1).address,
+        &Envelope { from: Id("m1".into()), body: Body::Gossip, updates: vec![suspect] },
+    );
+    assert_eq!(core.incarnation(), 13);
+    assert!(out.contains(&Action::Incarnation(13)));
+    assert!(out.iter().any(|a| matches!(a, Action::Send { to, .. } if *to == member(1).address)));
+}
+
+#[test]
+fn the_table_stops_at_its_bound() {
+    let settings = Settings { max_members: 5, ..Settings::default() };
+    let mut core = Members::new(settings, member(0), 1, vec![], 1);
+    let updates = (1..20).map(|i| alive(i, 1)).collect();
+    deliver(&mut core, member(1).address, &Envelope { from: Id("m1".into()), body: Body::Gossip, updates });
+    assert_eq!(core.view().members.len(), 5);
+    assert_eq!(core.refusals().table_full, 15);
+}
+
+#[test]
+fn one_address_gets_its_share_of_a_second_and_no_more() {
+    let settings = Settings { per_peer_per_second: 10, ..Settings::default() };
+    let mut core = Members::new(settings, member(0), 1, vec![], 1);
+    let mut out = Vec::new();
+    for _ in 0..50 {
+        core.handle(1, Event::Datagram { from: member(3).address, bytes: b"x" }, &mut out);
+    }
+    assert_eq!((core.refusals().garbage, core.refusals().rate), (10, 40));
+}
+
+#[test]
+fn a_whole_view_goes_out_in_parts_under_the_largest_datagram() {
+    let mut core = core();
+    let updates: Vec<Update> = (1..200).map(|i| alive(i, 1)).collect();
+    for chunk in updates.chunks(10) {
+        let envelope = Envelope { from: Id("m1".into()), body: Body::Gossip, updates: chunk.to_vec() };
+        deliver(&mut core, member(1).address, &envelope);
+    }
+    let push =
+        Envelope { from: Id("m7".into()), body: Body::PushPull { reply: true }, updates: vec![alive(7, 1)] };
+    let out = deliver(&mut core, member(7).address, &push);
+    let parts: Vec<&Vec<u8>> = out
+        .iter()
+        .filter_map(|a| if let Action::Send { bytes, .. } = a { Some(bytes) } else { None })
+        .collect();
+    assert!(parts.len() >= 3);
+    assert!(parts.iter().all(|p| p.len() <= LARGEST));
+    let carried: usize = parts.iter().map(|p| wire::decode(p).unwrap().updates.len()).sum();
+    assert_eq!(carried, 200);
+}
+
+proptest! {
+    #[test]
+    fn nothing_a_peer_sends_makes_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..1300)) {
+        let mut core = core();
+        let mut out = Vec::new();
+        let mut framed = b"hm\x01".to_vec();
+        framed.extend_from_slice(&bytes);
+        core.handle(1, Event::Datagram { from: member(5).address, bytes: &bytes }, &mut out);
+        core.handle(2, Event::Datagram { from: member(5).address, bytes: &framed }, &mut out);
+        core.handle(3_000, Event::Tick, &mut out);
+        prop_assert!(core.view().members.len() <= Settings::default().max_members);
+    }
+
+    #[test]
+    fn encoded_envelopes_decode_to_themselves(incarnation in 0u64..1 << 40, seq in any::<u32>(), n in 0u8..10) {
+        let envelope = Envelope {
+            from: Id("m1".into()),
+            body: Body::Ping { seq, target: Id("m2".into()) },
+            updates: (0..n).map(|i| alive(i, incarnation)).collect(),
+        };
+        prop_assert_eq!(wire::decode(&wire::encode(&envelope).unwrap()).unwrap(), envelope);
+    }
+}
