Keep the fleet's view in heathspurd over UDP, proven by processes behind a fault relay

The relay (heathspur-rig) stands between members on loopback: loss, duplication, delay a member, sides, one-way cuts. The rig took the first line for the address; membership's lines may come first now, and are passed over.

--- a/crates/heathspur-operator/src/lib.rs
+++ b/crates/heathspur-operator/src/lib.rs
@@ -7,9 +7,11 @@
 
 mod http2;
 mod locate;
+mod members;
 pub mod units;
 
 pub use http2::{Http2, Memory, Patience, Request, Streams};
+pub use members::{Members, Seed};
 
 use locate::Places;
 use serde::Deserialize;
@@ -39,6 +41,9 @@
     /// The port for HTTP/2, where it is on.
     #[serde(default)]
     pub http2: Option<Http2>,
+    /// The fleet's view kept by the servers, where it is on.
+    #[serde(default)]
+    pub members: Option<Members>,
 }
 
 /// The program's own log.
@@ -293,6 +298,9 @@
         if let Some(http2) = &self.http2 {
             http2.check(memory)?;
         }
+        if let Some(members) = &self.members {
+            members.check()?;
+        }
         let Some(record) = &self.record else { return Ok(()) };
         if record.directory.as_os_str().is_empty() {
             return mistake("record.@directory", "a folder is expected".into());
--- a/crates/heathspur-rig/src/lib.rs
+++ b/crates/heathspur-rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod capture;
 pub mod http2;
 pub mod proxy;
+pub mod relay;
 pub mod scripted;
 pub mod sink;
 pub mod swift;
--- a/crates/heathspur-rig/src/scripted.rs
+++ b/crates/heathspur-rig/src/scripted.rs
@@ -177,7 +177,13 @@
         });
         let reports = announce_at(announce);
         let process = Running(child);
-        let said = lines.recv_timeout(NEVER).expect("the server says where it listens");
+        // Where membership is on, its first lines may come before.
+        let said = loop {
+            let line = lines.recv_timeout(NEVER).expect("the server says where it listens");
+            if !line.contains("members: ") {
+                break line;
+            }
+        };
         let address = said.rsplit(' ').next().unwrap().parse().expect(&said);
         Rig { process, address, vm, store, reports, lines, config, file }
     }
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -25,6 +25,7 @@
 mod keys;
 mod link;
 mod log;
+mod members;
 mod owner;
 mod record;
 mod reply;
@@ -67,6 +68,8 @@
     Thread(io::Error),
     /// The notices of the operators can't be heard.
     Signals(io::Error),
+    /// The fleet's view can't be kept: its socket, its settings or its thread.
+    Members(io::Error),
 }
 
 impl Fault {
@@ -74,7 +77,7 @@
     pub fn code(&self) -> u8 {
         match self {
             Fault::Config(_) | Fault::Operator(_) => 2,
-            Fault::Bind(..) | Fault::Thread(_) | Fault::Signals(_) => 1,
+            Fault::Bind(..) | Fault::Thread(_) | Fault::Signals(_) | Fault::Members(_) => 1,
         }
     }
 }
@@ -87,6 +90,7 @@
             Fault::Bind(address, e) => write!(f, "cannot listen on {address}: {e}"),
             Fault::Thread(e) => write!(f, "cannot start a thread: {e}"),
             Fault::Signals(e) => write!(f, "cannot hear signals: {e}"),
+            Fault::Members(e) => write!(f, "cannot keep the fleet's view: {e}"),
         }
     }
 }
@@ -115,12 +119,19 @@
         Some(record) => Some(Recording::start(&config.name, record).map_err(Fault::Thread)?),
         None => None,
     };
+    let membership = match &operator.members {
+        Some(members) => Some(members::Membership::start(members, 1).map_err(Fault::Members)?),
+        None => None,
+    };
     let tap = recording.as_ref().map(|recording| recording.tap.clone());
     let executor = Rc::new(LocalExecutor::new());
     let served =
         async_io::block_on(executor.run(serve::serve(executor.clone(), config, listeners, notice, tap)));
     // What streams are left hold the tap.
     drop(executor);
+    if let Some(membership) = membership {
+        membership.leave();
+    }
     if let Some(recording) = recording {
         recording.finish(LAST_BLOCKS);
     }
