Bound the count of datagrams a peer: new addresses went in before the table was checked

Seen on reading the change again: receive() put every source address into the table of the second's counts and only then compared the table's length with its bound, so a flood from ever new ports grew it without end for a second (5,000 addresses in the new test, 16 allowed). Ruled out: the other tables (members, pending updates, relays, confirmations) check before they insert. The check now comes first; a new address past the bound is refused and counted as rate. The test fails on the old lines with 5,000 against 16.

--- a/crates/heathspur-members/src/core.rs
+++ b/crates/heathspur-members/src/core.rs
@@ -274,6 +274,11 @@
         counts
     }
 
+    /// Addresses counted in this second's table of datagrams a peer; at most twice `max_members`.
+    pub fn counted_addresses(&self) -> usize {
+        self.rate.len()
+    }
+
     /// Updates waiting to be spread.
     pub fn pending(&self) -> usize {
         self.spread.len()
@@ -618,13 +623,15 @@
     }
 
     pub(crate) fn receive(&mut self, from: SocketAddrV4, bytes: &[u8], out: &mut Vec<Action>) {
-        let seen = self.rate.entry(from).or_insert(0);
-        if *seen >= self.settings.per_peer_per_second || self.rate.len() > self.settings.max_members * 2 {
+        // A new address is counted only while the table has room: spoofed sources can't grow it.
+        let seen = self.rate.get(&from).copied();
+        let full = seen.is_none() && self.rate.len() >= self.settings.max_members * 2;
+        if full || seen.is_some_and(|n| n >= self.settings.per_peer_per_second) {
             self.refusals.rate += 1;
             self.last_sender = Some(from);
             return;
         }
-        *self.rate.get_mut(&from).expect("just counted") += 1;
+        *self.rate.entry(from).or_insert(0) += 1;
         let envelope = match wire::decode(bytes) {
             Ok(envelope) => envelope,
             Err(refusal) => {
--- a/crates/heathspur-members/tests/input.rs
+++ b/crates/heathspur-members/tests/input.rs
@@ -145,6 +145,19 @@
     assert_eq!(carried, 200);
 }
 
+#[test]
+fn datagrams_from_ever_new_addresses_do_not_grow_the_count_of_peers() {
+    let settings = Settings { max_members: 8, ..Settings::default() };
+    let mut core = Members::new(settings, member(0), 1, vec![], 1);
+    let mut out = Vec::new();
+    for port in 0..5_000u16 {
+        let from = SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 2), port);
+        core.handle(1, Event::Datagram { from, bytes: b"x" }, &mut out);
+    }
+    assert_eq!(core.counted_addresses(), 16);
+    assert_eq!(core.refusals().rate, 5_000 - 16);
+}
+
 proptest! {
     #[test]
     fn nothing_a_peer_sends_makes_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..1300)) {
