Show that Lifeguard is what spares the slow member's victims, in the emulator

Seen on reading the change again: the slow-member test passed with Lifeguard off as well (0 deaths at 500 ms), so it proved nothing of Lifeguard. The test now plays 300 ms both ways and a second test asks the plain core to fail.

--- a/crates/heathspur-emulator/tests/members.rs
+++ b/crates/heathspur-emulator/tests/members.rs
@@ -7,6 +7,30 @@
     Fleet::new(members, 3, Settings::default(), seed)
 }
 
+/// A fleet that has come to one view.
+fn settled(members: usize, seed: u64, settings: Settings) -> Fleet {
+    let mut fleet = Fleet::new(members, 3, settings, seed);
+    assert!(fleet.run_while(30_000, Fleet::settled), "not one view after 30 s");
+    fleet
+}
+
+/// Deaths seen while `fault` holds for `span` ms.
+fn deaths_under(fleet: &mut Fleet, span: u64, fault: impl FnOnce(&mut Fleet)) -> usize {
+    fault(fleet);
+    let at = fleet.now;
+    fleet.run_until(at + span);
+    fleet.false_deaths(|_, _| true)
+}
+
+/// A member slow by 300 ms each way, with 10% loss: in plain SWIM it is the slow one that accuses healthy others.
+fn slow_member(settings: Settings) -> usize {
+    let mut fleet = settled(20, 4, settings);
+    deaths_under(&mut fleet, 120_000, |f| {
+        f.faults.loss = 0.10;
+        f.nodes[5].slow_ms = 300;
+    })
+}
+
 #[test]
 fn fifty_join_through_one_seed_and_all_see_all() {
     let mut fleet = fleet(50, 1);
@@ -46,36 +70,30 @@
 
 #[test]
 fn with_lifeguard_a_slow_member_is_not_taken_for_dead_nor_are_others() {
-    let mut fleet = fleet(20, 4);
-    assert!(fleet.run_while(30_000, Fleet::settled));
-    fleet.faults.loss = 0.10;
-    fleet.nodes[5].slow_ms = 500;
-    let at = fleet.now;
-    fleet.run_until(at + 120_000);
-    assert_eq!(fleet.false_deaths(|_, _| true), 0);
+    assert_eq!(slow_member(Settings::default()), 0);
+}
+
+#[test]
+fn without_lifeguard_the_same_slow_member_is_taken_for_dead() {
+    assert!(slow_member(Settings { lifeguard: false, ..Settings::default() }) > 0);
 }
 
 #[test]
 fn a_pause_of_three_seconds_is_refuted_in_time() {
-    let mut fleet = fleet(12, 5);
-    assert!(fleet.run_while(30_000, Fleet::settled));
-    fleet.nodes[4].paused_until = fleet.now + 3_000;
-    let at = fleet.now;
-    fleet.run_until(at + 20_000);
-    assert_eq!(fleet.false_deaths(|_, _| true), 0);
+    let mut fleet = settled(12, 5, Settings::default());
+    assert_eq!(deaths_under(&mut fleet, 20_000, |f| f.nodes[4].paused_until = f.now + 3_000), 0);
     assert!(fleet.settled());
 }
 
 #[test]
 fn twenty_percent_loss_on_every_link_kills_nobody() {
-    let mut fleet = fleet(15, 6);
-    assert!(fleet.run_while(30_000, Fleet::settled));
-    fleet.faults.loss = 0.20;
-    fleet.faults.duplicate = 0.05;
-    fleet.faults.jitter_ms = 30;
-    let at = fleet.now;
-    fleet.run_until(at + 60_000);
-    assert_eq!(fleet.false_deaths(|_, _| true), 0);
+    let mut fleet = settled(15, 6, Settings::default());
+    let faults = |f: &mut Fleet| {
+        f.faults.loss = 0.20;
+        f.faults.duplicate = 0.05;
+        f.faults.jitter_ms = 30;
+    };
+    assert_eq!(deaths_under(&mut fleet, 60_000, faults), 0);
 }
 
 #[test]
