Draw the relay's chances from rand and bound what it holds back for delay

The fault relay had a hand-made xorshift where the crate already depends on rand; it now draws from a seeded StdRng. Its queue of delayed datagrams was an unbounded channel and list; both hold 4,096 now, and past that a delayed datagram is lost, as on a full link.

--- a/crates/heathspur-rig/src/relay.rs
+++ b/crates/heathspur-rig/src/relay.rs
@@ -1,9 +1,11 @@
 //! A fault relay for datagrams between members on loopback: each member is reached at its relay port, and
 //! what passes is dropped, delayed, duplicated or cut by rules that a test changes while it runs.
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use std::collections::HashSet;
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::mpsc::{self, Receiver, SyncSender};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -43,6 +45,9 @@
     pub rules: Arc<Mutex<Rules>>,
 }
 
+/// Datagrams held back for delay at once.
+const DELAYED: usize = 4_096;
+
 struct Later {
     at: Instant,
     from: usize,
@@ -60,7 +65,8 @@
             (0..members).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()).collect();
         let rules = Arc::new(Mutex::new(Rules { slow: vec![Duration::ZERO; members], ..Rules::default() }));
         let sockets: Arc<Vec<UdpSocket>> = Arc::new(sockets);
-        let (later, queue) = mpsc::channel::<Later>();
+        // Bounded: past it a delayed datagram is lost, as on a full link.
+        let (later, queue) = mpsc::sync_channel::<Later>(DELAYED);
         let out = sockets.clone();
         let targets = real.clone();
         thread::spawn(move || delayed(queue, out, targets));
@@ -82,16 +88,11 @@
     sockets: Arc<Vec<UdpSocket>>,
     rules: Arc<Mutex<Rules>>,
     real: Vec<SocketAddr>,
-    later: Sender<Later>,
+    later: SyncSender<Later>,
 ) {
     let mut buffer = [0u8; 2048];
-    let mut draw = 0x2545_f491_4f6c_dd1du64 ^ to as u64;
-    let mut chance = move || {
-        draw ^= draw << 13;
-        draw ^= draw >> 7;
-        draw ^= draw << 17;
-        (draw >> 11) as f64 / (1u64 << 53) as f64
-    };
+    let mut draw = StdRng::seed_from_u64(0x2545_f491_4f6c_dd1d ^ to as u64);
+    let mut chance = move || draw.random::<f64>();
     loop {
         let Ok((len, source)) = sockets[to].recv_from(&mut buffer) else { continue };
         // Members send from the socket they listen on, so the source tells who sent.
@@ -108,7 +109,7 @@
                 // Out of the sender's relay port, so that the receiver sees the address it knows the sender by.
                 let _ = sockets[from].send_to(&bytes, real[to]);
             } else {
-                let _ = later.send(Later { at: Instant::now() + wait, from, to, bytes });
+                let _ = later.try_send(Later { at: Instant::now() + wait, from, to, bytes });
             }
         }
     }
@@ -120,7 +121,8 @@
         let next = waiting.iter().map(|l| l.at).min();
         let wait = next.map_or(Duration::from_millis(50), |at| at.saturating_duration_since(Instant::now()));
         match queue.recv_timeout(wait) {
-            Ok(later) => waiting.push(later),
+            Ok(later) if waiting.len() < DELAYED => waiting.push(later),
+            Ok(_) => {}
             Err(mpsc::RecvTimeoutError::Timeout) => {}
             Err(mpsc::RecvTimeoutError::Disconnected) => return,
         }
