--- a/crates/heathspurd/src/members.rs
+++ b/crates/heathspurd/src/members.rs
@@ -1,15 +1,14 @@
 //! The shell of the fleet's view: UDP on its own thread and local executor, the core's actions carried out.
 //!
-//! Nothing here decides: `heathspur-members` does. The owner of requests never waits on this thread; it will
-//! read the view as a versioned snapshot.
+//! Nothing here decides: `heathspur-members` does. Nothing on the owner's thread reads the view yet; failover
+//! will, as a versioned snapshot, without waiting on this thread.
 
 use async_io::{Async, Timer};
 use futures_lite::future;
-use heathspur_members::{wire, Action, Event, Id, Load, Member, Members, Settings, State, View};
+use heathspur_members::{wire, Action, Event, Id, Load, Member, Members, Settings, State};
 use heathspur_operator::Members as Operated;
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
-use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tracing::{info, warn};
@@ -17,9 +16,8 @@
 /// A leaving member goes on so long to spread that it leaves.
 const LEAVING: Duration = Duration::from_millis(300);
 
-/// The running membership: its thread, the view it publishes, and how to tell it to leave.
+/// The running membership: its thread, and how to tell it to leave.
 pub(crate) struct Membership {
-    view: Arc<Mutex<View>>,
     leave: async_channel::Sender<()>,
     thread: Option<JoinHandle<()>>,
 }
@@ -70,24 +68,16 @@
         };
         let incarnation = first_incarnation();
         let core = Members::new(settings, me, incarnation, seeds, incarnation ^ 0x9e37_79b9_7f4a_7c15);
-        let view = Arc::new(Mutex::new(core.view()));
         let (leave, told) = async_channel::bounded(1);
-        let published = view.clone();
         info!(member = %operated.id, incarnation, address = %advertise, "members: joining");
         let thread = thread::Builder::new().name("members".into()).spawn(move || {
             let executor = async_executor::LocalExecutor::new();
-            let running = run(socket, core, published, told);
+            let running = run(socket, core, told);
             if let Err(e) = async_io::block_on(executor.run(running)) {
                 warn!(error = %e, "members: stopped: {e}");
             }
         })?;
-        Ok(Membership { view, leave, thread: Some(thread) })
-    }
-
-    /// The view now, as last published.
-    #[allow(dead_code)]
-    pub(crate) fn view(&self) -> View {
-        self.view.lock().map(|v| v.clone()).unwrap_or_default()
+        Ok(Membership { leave, thread: Some(thread) })
     }
 
     /// Says to the fleet that this member leaves, and ends the thread.
@@ -105,12 +95,7 @@
     Leave,
 }
 
-async fn run(
-    socket: UdpSocket,
-    mut core: Members,
-    view: Arc<Mutex<View>>,
-    leave: async_channel::Receiver<()>,
-) -> io::Result<()> {
+async fn run(socket: UdpSocket, mut core: Members, leave: async_channel::Receiver<()>) -> io::Result<()> {
     let socket = Async::new(socket)?;
     let started = Instant::now();
     let now = || started.elapsed().as_millis() as u64;
@@ -145,11 +130,6 @@
         for action in out.drain(..) {
             carry_out(&socket, action).await;
         }
-        if let Ok(mut published) = view.lock() {
-            if published.version != core.version() {
-                *published = core.view();
-            }
-        }
         if leaving.is_some_and(|at| at.elapsed() >= LEAVING) {
             info!("members: left");
             return Ok(());
