Count only different accusers as confirmations, and check the view's rules in a model

Cause: a suspicion passed on by another member was counted as that member's own (merge.rs took the sender of the datagram for the accuser), so four relays of one accusation shortened the suspect's time to its least. It is Lifeguard's independence that was missing. Read in the code and shown by a test that failed before.

Change: an update names its accuser (envelope version 2). A word of death counts as all confirmations, the least time still stands. No more confirmations are waited for than there are members to give them.

Also found while reading, each with a test that fails without it: - an incarnation taken from the wall clock lies ahead by as long as a member ran; after 198 days its restart was refused as far future (now four years); - halves apart for longer than the dead are kept (120 s) had forgotten each other: push-pull now also goes to seeds that nobody live stands at; - members started at one moment probed, gossiped and exchanged views in step; phases are drawn now; - the word of leaving went out once; it is gossiped again until the process ends.

New: records of members as pure transitions (record.rs), with a stateright model of three members under crashes, restarts, partitions and heals (321,287 states with two faults in a history; 5,278,024 with three, run once, held too); four mutants are found. A tool may ask for the view part by part, with answers no longer than its questions.

--- a/crates/heathspur-members/src/core.rs
+++ b/crates/heathspur-members/src/core.rs
@@ -1,19 +1,37 @@
 //! The member's state machine: what it holds, and how events turn into actions.
 
 use crate::member::{Id, Load, Member, State};
+use crate::probe::{Probe, Relay};
+use crate::record::Record;
 use crate::refusals::{Refusals, Told};
 use crate::settings::Settings;
 use crate::spread::Spread;
 use crate::suspicion::Suspicion;
-use crate::wire::{self, Body, Envelope, Update};
+use crate::wire::{self, Body, Update};
 use rand::rngs::StdRng;
-use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 
-/// Indirect probes relayed for others at once; past it, a request is not relayed (the asker sees no nack).
-const RELAYS: usize = 64;
+/// Entries of the table by what is asked of them at every tick, so that a quiet table is not walked through.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Tally {
+    suspect: usize,
+    gone: usize,
+}
+
+impl Tally {
+    pub(crate) fn add(&mut self, state: State) {
+        self.suspect += (state == State::Suspect) as usize;
+        self.gone += !state.live() as usize;
+    }
+
+    pub(crate) fn remove(&mut self, state: State) {
+        self.suspect -= (state == State::Suspect) as usize;
+        self.gone -= !state.live() as usize;
+    }
+}
+
 /// Pushes of the whole view answered in one period; past it, a push is merged but not answered.
 const REPLIES_A_PERIOD: u32 = 4;
 
@@ -110,6 +128,13 @@
     pub(crate) suspicion: Option<Suspicion>,
 }
 
+impl Entry {
+    /// State and incarnation as known here.
+    pub fn record(&self) -> Record {
+        Record { state: self.state, incarnation: self.incarnation }
+    }
+}
+
 /// The view at one moment, versioned: a reader compares versions instead of waiting.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -121,23 +146,6 @@
     pub members: Vec<(Member, State, u64)>,
 }
 
-pub(crate) struct Probe {
-    pub(crate) target: Id,
-    pub(crate) seq: u32,
-    pub(crate) started: u64,
-    pub(crate) indirect_sent: bool,
-    pub(crate) acked: bool,
-    pub(crate) nacks_expected: u32,
-    pub(crate) nacks: u32,
-}
-
-pub(crate) struct Relay {
-    pub(crate) seq: u32,
-    pub(crate) asker: SocketAddrV4,
-    pub(crate) asker_seq: u32,
-    pub(crate) nack_at: u64,
-}
-
 /// One member's view of the fleet and its part in keeping it.
 pub struct Members {
     pub(crate) settings: Settings,
@@ -146,20 +154,21 @@
     pub(crate) leaving: bool,
     pub(crate) rng: StdRng,
     pub(crate) table: BTreeMap<Id, Entry>,
-    order: Vec<Id>,
-    next_in_order: usize,
+    pub(crate) tally: Tally,
+    pub(crate) order: Vec<Id>,
+    pub(crate) next_in_order: usize,
     pub(crate) probe: Option<Probe>,
     pub(crate) relays: Vec<Relay>,
-    seq: u32,
+    pub(crate) seq: u32,
     pub(crate) spread: Spread,
     pub(crate) awareness: u32,
-    next_probe: u64,
+    pub(crate) next_probe: u64,
     next_gossip: u64,
     next_push_pull: u64,
-    seeds: Vec<SocketAddrV4>,
-    joined: bool,
-    join_at: Option<u64>,
-    join_wait: u64,
+    pub(crate) seeds: Vec<SocketAddrV4>,
+    pub(crate) joined: bool,
+    pub(crate) join_at: Option<u64>,
+    pub(crate) join_wait: u64,
     rate: HashMap<SocketAddrV4, u32>,
     rate_window: u64,
     replies: u32,
@@ -191,6 +200,7 @@
             leaving: false,
             rng: StdRng::seed_from_u64(seed),
             table: BTreeMap::new(),
+            tally: Tally::default(),
             order: Vec::new(),
             next_in_order: 0,
             probe: None,
@@ -225,6 +235,12 @@
             Event::Join => {
                 self.join_at = Some(self.now);
                 self.join_wait = self.settings.join_backoff_ms;
+                // Members started at one moment don't probe, gossip and exchange views in step.
+                let now = self.now;
+                let mut within = |span: u64| now + self.rng.random_range(0..span.max(1));
+                self.next_probe = within(self.settings.period_ms);
+                self.next_gossip = within(self.settings.gossip_ms);
+                self.next_push_pull = within(self.settings.push_pull_every_ms(1 + self.table.len()));
                 self.tick(out);
             }
             Event::Leave => self.leave(out),
@@ -239,6 +255,20 @@
         }
     }
 
+    /// Takes in members that are known to be there, without news of them: where a fleet stands already.
+    pub fn know(&mut self, members: impl IntoIterator<Item = (Member, u64)>) {
+        for (member, incarnation) in members {
+            let full = self.table.len() + 1 >= self.settings.max_members;
+            if full || member.id == self.me.id || self.table.contains_key(&member.id) {
+                continue;
+            }
+            let (state, since, suspicion) = (State::Alive, self.now, None);
+            self.table.insert(member.id.clone(), Entry { member, state, incarnation, since, suspicion });
+            self.joined = true;
+            self.version += 1;
+        }
+    }
+
     /// The view now.
     pub fn view(&self) -> View {
         let mut members = vec![(self.me.clone(), self.my_state(), self.incarnation)];
@@ -298,15 +328,15 @@
     }
 
     pub(crate) fn me_update(&self) -> Update {
-        Update { state: self.my_state(), incarnation: self.incarnation, member: self.me.clone() }
+        Update { state: self.my_state(), incarnation: self.incarnation, by: None, member: self.me.clone() }
     }
 
     /// Members counted for SWIM's scaling: those live, this one too.
     pub(crate) fn live_count(&self) -> usize {
-        1 + self.table.values().filter(|e| e.state.live()).count()
+        1 + self.table.len() - self.tally.gone
     }
 
-    fn scaled(&self, ms: u64) -> u64 {
+    pub(crate) fn scaled(&self, ms: u64) -> u64 {
         if self.settings.lifeguard {
             ms * (self.awareness as u64 + 1)
         } else {
@@ -324,14 +354,14 @@
         self.expire_suspicions(out);
         self.reap(out);
         self.relay_nacks(out);
-        if self.leaving {
-            return;
-        }
-        self.probe_step(out);
         if now >= self.next_gossip {
             self.next_gossip = now + self.settings.gossip_ms;
             self.gossip(out);
         }
+        if self.leaving {
+            return;
+        }
+        self.probe_step(out);
         if now >= self.next_push_pull && self.joined {
             self.next_push_pull = now + self.settings.push_pull_every_ms(self.live_count());
             self.push_pull(out);
@@ -341,6 +371,9 @@
     }
 
     fn expire_suspicions(&mut self, out: &mut Vec<Action>) {
+        if self.tally.suspect == 0 {
+            return;
+        }
         let now = self.now;
         let due: Vec<Id> = self
             .table
@@ -351,11 +384,13 @@
             .map(|e| e.member.id.clone())
             .collect();
         for id in due {
-            self.set_state(&id, State::Dead, Cause::SuspicionTimeout, out);
+            let Some(dead) = self.table.get(&id).and_then(|e| e.record().expire()) else { continue };
+            self.set(&id, dead.state, dead.incarnation, Cause::SuspicionTimeout, out);
             if let Some(entry) = self.table.get(&id) {
                 self.spread.push(Update {
                     state: State::Dead,
                     incarnation: entry.incarnation,
+                    by: Some(self.me.id.clone()),
                     member: entry.member.clone(),
                 });
             }
@@ -363,6 +398,9 @@
     }
 
     fn reap(&mut self, out: &mut Vec<Action>) {
+        if self.tally.gone == 0 {
+            return;
+        }
         let keep = self.settings.dead_keep_ms;
         let now = self.now;
         let gone: Vec<Id> = self
@@ -373,6 +411,7 @@
             .collect();
         for id in gone {
             if let Some(entry) = self.table.remove(&id) {
+                self.tally.remove(entry.state);
                 self.version += 1;
                 out.push(Action::Changed {
                     id,
@@ -384,181 +423,6 @@
         }
     }
 
-    fn relay_nacks(&mut self, out: &mut Vec<Action>) {
-        let now = self.now;
-        let (due, kept): (Vec<Relay>, Vec<Relay>) = self.relays.drain(..).partition(|r| r.nack_at <= now);
-        self.relays = kept;
-        for relay in due {
-            if self.settings.lifeguard {
-                self.send(relay.asker, Body::Nack { seq: relay.asker_seq }, false, out);
-            }
-        }
-    }
-
-    fn next_seq(&mut self) -> u32 {
-        self.seq = self.seq.wrapping_add(1);
-        self.seq
-    }
-
-    fn probe_step(&mut self, out: &mut Vec<Action>) {
-        let now = self.now;
-        let timeout = self.scaled(self.settings.probe_timeout_ms);
-        if let Some(probe) = &self.probe {
-            if !probe.acked && !probe.indirect_sent && now >= probe.started + timeout {
-                self.indirect_probe(out);
-            }
-        }
-        if now < self.next_probe {
-            return;
-        }
-        if let Some(probe) = self.probe.take() {
-            self.probe_ended(probe, out);
-        }
-        self.next_probe = now + self.scaled(self.settings.period_ms);
-        let Some(target) = self.next_target() else { return };
-        let seq = self.next_seq();
-        let address = self.table[&target].member.address;
-        self.probe = Some(Probe {
-            target: target.clone(),
-            seq,
-            started: now,
-            indirect_sent: false,
-            acked: false,
-            nacks_expected: 0,
-            nacks: 0,
-        });
-        // Lifeguard's buddy system: a suspect hears first that it is suspected, and can refute at once.
-        let tell = self.settings.lifeguard && self.table[&target].state == State::Suspect;
-        let first = tell.then(|| {
-            let e = &self.table[&target];
-            Update { state: State::Suspect, incarnation: e.incarnation, member: e.member.clone() }
-        });
-        self.send_with(address, Body::Ping { seq, target }, first, out);
-    }
-
-    fn probe_ended(&mut self, probe: Probe, out: &mut Vec<Action>) {
-        if probe.acked {
-            self.awareness = self.awareness.saturating_sub(1);
-            return;
-        }
-        if self.settings.lifeguard {
-            // Missing nacks say that the fault may be ours: our own accusations slow down.
-            let missing = probe.nacks_expected.saturating_sub(probe.nacks);
-            let delta = if probe.nacks_expected == 0 { 1 } else { missing };
-            self.awareness = (self.awareness + delta).min(self.settings.awareness_max);
-        }
-        let me = self.me.id.clone();
-        self.suspect(&probe.target, self.incarnation_of(&probe.target), me, Cause::ProbeMissed, out);
-    }
-
-    fn incarnation_of(&self, id: &Id) -> u64 {
-        self.table.get(id).map_or(0, |e| e.incarnation)
-    }
-
-    fn indirect_probe(&mut self, out: &mut Vec<Action>) {
-        let Some(probe) = &mut self.probe else { return };
-        probe.indirect_sent = true;
-        let (seq, target) = (probe.seq, probe.target.clone());
-        let Some(address) = self.table.get(&target).map(|e| e.member.address) else { return };
-        let mut helpers: Vec<SocketAddrV4> = self
-            .table
-            .values()
-            .filter(|e| e.state == State::Alive && e.member.id != target)
-            .map(|e| e.member.address)
-            .collect();
-        helpers.shuffle(&mut self.rng);
-        helpers.truncate(self.settings.indirect);
-        if let Some(probe) = &mut self.probe {
-            probe.nacks_expected = helpers.len() as u32;
-        }
-        for helper in helpers {
-            self.send(helper, Body::PingReq { seq, target: target.clone(), address }, false, out);
-        }
-    }
-
-    /// SWIM's round robin: every live member once in a shuffled order, then a new order.
-    fn next_target(&mut self) -> Option<Id> {
-        for _ in 0..2 {
-            while self.next_in_order < self.order.len() {
-                let id = self.order[self.next_in_order].clone();
-                self.next_in_order += 1;
-                if self.table.get(&id).is_some_and(|e| e.state.live()) {
-                    return Some(id);
-                }
-            }
-            self.order =
-                self.table.values().filter(|e| e.state.live()).map(|e| e.member.id.clone()).collect();
-            self.order.shuffle(&mut self.rng);
-            self.next_in_order = 0;
-        }
-        None
-    }
-
-    fn gossip(&mut self, out: &mut Vec<Action>) {
-        if self.spread.is_empty() {
-            return;
-        }
-        self.gossip_now(out);
-    }
-
-    pub(crate) fn gossip_now(&mut self, out: &mut Vec<Action>) {
-        let mut targets: Vec<SocketAddrV4> =
-            self.table.values().filter(|e| e.state.live()).map(|e| e.member.address).collect();
-        targets.shuffle(&mut self.rng);
-        targets.truncate(self.settings.fanout);
-        for to in targets {
-            self.send(to, Body::Gossip, false, out);
-        }
-    }
-
-    fn push_pull(&mut self, out: &mut Vec<Action>) {
-        let live: Vec<SocketAddrV4> =
-            self.table.values().filter(|e| e.state.live()).map(|e| e.member.address).collect();
-        let dead: Vec<SocketAddrV4> =
-            self.table.values().filter(|e| e.state == State::Dead).map(|e| e.member.address).collect();
-        // Now and then a dead one: after a partition heals, that is how the halves find each other again.
-        let pool = if !dead.is_empty() && (live.is_empty() || self.rng.random_range(0..3) == 0) {
-            dead
-        } else {
-            live
-        };
-        if let Some(&to) = pool.get(self.rng.random_range(0..pool.len().max(1))) {
-            self.send_view(to, true, out);
-        }
-    }
-
-    fn join_step(&mut self, out: &mut Vec<Action>) {
-        let Some(at) = self.join_at else { return };
-        if self.joined || self.now < at {
-            return;
-        }
-        for seed in self.seeds.clone() {
-            self.send_view(seed, true, out);
-        }
-        let jitter = self.rng.random_range(0..=self.join_wait / 2);
-        self.join_at = Some(self.now + self.join_wait + jitter);
-        self.join_wait = (self.join_wait * 2).min(self.settings.join_backoff_max_ms);
-    }
-
-    fn leave(&mut self, out: &mut Vec<Action>) {
-        if self.leaving {
-            return;
-        }
-        self.leaving = true;
-        self.incarnation += 1;
-        self.version += 1;
-        out.push(Action::Incarnation(self.incarnation));
-        self.probe = None;
-        self.spread.push(self.me_update());
-        let mut targets: Vec<SocketAddrV4> =
-            self.table.values().filter(|e| e.state.live()).map(|e| e.member.address).collect();
-        targets.shuffle(&mut self.rng);
-        targets.truncate(self.settings.fanout * 2);
-        for to in targets {
-            self.send(to, Body::Gossip, true, out);
-        }
-    }
-
     fn tell(&mut self, out: &mut Vec<Action>) {
         if self.now < self.next_tell {
             return;
@@ -572,56 +436,6 @@
         }
     }
 
-    /// Sends the whole view in parts under the largest datagram; only the first part asks for a reply.
-    pub(crate) fn send_view(&mut self, to: SocketAddrV4, reply: bool, out: &mut Vec<Action>) {
-        let mut updates: Vec<Update> = vec![self.me_update()];
-        updates.extend(self.table.values().map(|e| Update {
-            state: e.state,
-            incarnation: e.incarnation,
-            member: e.member.clone(),
-        }));
-        let mut part =
-            Envelope { from: self.me.id.clone(), body: Body::PushPull { reply }, updates: Vec::new() };
-        let mut len = wire::encoded_len(&part);
-        for update in updates {
-            let more = wire::update_len(&update);
-            if len + more + 2 > wire::LARGEST && !part.updates.is_empty() {
-                self.emit(to, &part, out);
-                part.body = Body::PushPull { reply: false };
-                part.updates.clear();
-                len = wire::encoded_len(&part);
-            }
-            len += more;
-            part.updates.push(update);
-        }
-        self.emit(to, &part, out);
-    }
-
-    pub(crate) fn send(&mut self, to: SocketAddrV4, body: Body, with_me: bool, out: &mut Vec<Action>) {
-        let first = with_me.then(|| self.me_update());
-        self.send_with(to, body, first, out);
-    }
-
-    /// Sends `body` with `first` and as many pending updates as fit; this member's own news leads, since
-    /// its load travels that way.
-    fn send_with(&mut self, to: SocketAddrV4, body: Body, first: Option<Update>, out: &mut Vec<Action>) {
-        let mut envelope = Envelope { from: self.me.id.clone(), body, updates: Vec::new() };
-        let first = first.unwrap_or_else(|| self.me_update());
-        let skip = first.member.id.clone();
-        envelope.updates.push(first);
-        let room = wire::LARGEST.saturating_sub(wire::encoded_len(&envelope) + 4);
-        let limit = self.settings.retransmits(self.live_count());
-        envelope.updates.extend(self.spread.take(room, limit, Some(&skip)));
-        self.emit(to, &envelope, out);
-    }
-
-    fn emit(&mut self, to: SocketAddrV4, envelope: &Envelope, out: &mut Vec<Action>) {
-        match wire::encode(envelope) {
-            Some(bytes) => out.push(Action::Send { to, bytes }),
-            None => self.refusals.unsent += 1,
-        }
-    }
-
     pub(crate) fn receive(&mut self, from: SocketAddrV4, bytes: &[u8], out: &mut Vec<Action>) {
         // A new address is counted only while the table has room: spoofed sources can't grow it.
         let seen = self.rate.get(&from).copied();
@@ -644,12 +458,16 @@
                 return;
             }
         };
+        if let Body::Ask(ask) = &envelope.body {
+            self.answer(from, ask, bytes.len(), out);
+            return;
+        }
         if envelope.from == self.me.id {
             self.refusals.conflict += 1;
             self.last_sender = Some(from);
             return;
         }
-        if !matches!(envelope.body, Body::Nack { .. }) {
+        if !matches!(envelope.body, Body::Nack { .. } | Body::Seen(_)) {
             self.joined = true;
         }
         for update in &envelope.updates {
@@ -677,35 +495,7 @@
                     self.send_view(from, false, out);
                 }
             }
-            Body::Gossip => {}
-        }
-    }
-
-    fn relay(
-        &mut self,
-        asker: SocketAddrV4,
-        asker_seq: u32,
-        target: Id,
-        address: SocketAddrV4,
-        out: &mut Vec<Action>,
-    ) {
-        if self.relays.len() >= RELAYS {
-            return;
-        }
-        let seq = self.next_seq();
-        let nack_at = self.now + self.settings.probe_timeout_ms * 4 / 5;
-        self.relays.push(Relay { seq, asker, asker_seq, nack_at });
-        self.send(address, Body::Ping { seq, target }, true, out);
-    }
-
-    fn acked(&mut self, seq: u32, out: &mut Vec<Action>) {
-        if let Some(probe) = self.probe.as_mut().filter(|p| p.seq == seq) {
-            probe.acked = true;
-            return;
-        }
-        if let Some(i) = self.relays.iter().position(|r| r.seq == seq) {
-            let relay = self.relays.swap_remove(i);
-            self.send(relay.asker, Body::Ack { seq: relay.asker_seq }, true, out);
+            Body::Gossip | Body::Ask(_) | Body::Seen(_) => {}
         }
     }
 }
--- a/crates/heathspur-members/src/lib.rs
+++ b/crates/heathspur-members/src/lib.rs
@@ -12,8 +12,11 @@
 #![forbid(unsafe_code)]
 
 mod core;
+mod exchange;
 mod member;
 mod merge;
+mod probe;
+pub mod record;
 mod refusals;
 mod settings;
 mod spread;
--- a/crates/heathspur-members/src/merge.rs
+++ b/crates/heathspur-members/src/merge.rs
@@ -2,13 +2,14 @@
 
 use crate::core::{Action, Cause, Entry, Members};
 use crate::member::{Id, State};
+use crate::record::{self, Heard, Record};
 use crate::suspicion::Suspicion;
 use crate::wire::{Body, Update};
 use std::net::SocketAddrV4;
 
-/// An incarnation further ahead of the known one than this is taken for garbage: a restarted member's derived
-/// incarnation (seconds) moves by far less.
-pub(crate) const FAR_AHEAD: u64 = 1 << 34;
+/// An incarnation further ahead of the known one than this is taken for garbage. A restarted member's is derived
+/// from the wall clock's milliseconds, so it lies ahead by as long as the member ran: this is four years.
+pub(crate) const FAR_AHEAD: u64 = 1 << 37;
 /// No incarnation is taken above this, so that refutation can always count past it.
 pub(crate) const HIGHEST: u64 = 1 << 48;
 
@@ -46,16 +47,16 @@
             self.last_sender = Some(source);
             return;
         }
-        let (state, incarnation) = (entry.state, entry.incarnation);
+        let known = entry.record();
         let id = update.member.id.clone();
-        match update.state {
-            State::Alive if update.incarnation > incarnation => {
+        match known.hear(Record { state: update.state, incarnation: update.incarnation }) {
+            Heard::Alive => {
                 self.table.get_mut(&id).expect("present").member = update.member.clone();
-                let cause = if state == State::Alive { Cause::Heard } else { Cause::Refuted };
+                let cause = if known.state == State::Alive { Cause::Heard } else { Cause::Refuted };
                 self.set(&id, State::Alive, update.incarnation, cause, out);
                 self.spread.push(update.clone());
             }
-            State::Alive if update.incarnation == incarnation && state == State::Alive && from_itself => {
+            Heard::Same if from_itself => {
                 // Its load and epoch, first hand; not spread further, since each member speaks for itself.
                 let entry = self.table.get_mut(&id).expect("present");
                 if entry.member != update.member {
@@ -63,16 +64,21 @@
                     self.version += 1;
                 }
             }
-            State::Suspect | State::Dead if state.live() && update.incarnation >= incarnation => {
-                // A death said by another is heard as a suspicion: every member runs its own timer, so a
-                // healed partition's news of the other half does not kill members that answer here.
-                self.suspect(&id, update.incarnation, sender.clone(), Cause::Heard, out);
+            Heard::Accused { convicted } => {
+                let by = update.by.clone().unwrap_or_else(|| sender.clone());
+                self.suspect(&id, update.incarnation, by, Cause::Heard, out);
+                if convicted {
+                    let entry = self.table.get_mut(&id).filter(|e| e.incarnation == update.incarnation);
+                    if let Some(suspicion) = entry.and_then(|e| e.suspicion.as_mut()) {
+                        suspicion.convict();
+                    }
+                }
             }
-            State::Left if update.incarnation >= incarnation && state != State::Left => {
+            Heard::Left => {
                 self.set(&id, State::Left, update.incarnation, Cause::Left, out);
                 self.spread.push(update.clone());
             }
-            _ => {}
+            Heard::Same | Heard::Stale => {}
         }
     }
 
@@ -96,6 +102,7 @@
             },
         );
         self.version += 1;
+        self.tally.add(State::Alive);
         out.push(Action::Changed {
             id: id.clone(),
             to: Some(State::Alive),
@@ -105,27 +112,27 @@
         self.spread.push(Update {
             state: State::Alive,
             incarnation: update.incarnation,
+            by: None,
             member: update.member.clone(),
         });
         if update.state == State::Suspect {
-            self.suspect(&id, update.incarnation, id.clone(), Cause::Heard, out);
+            let by = update.by.clone().unwrap_or_else(|| id.clone());
+            self.suspect(&id, update.incarnation, by, Cause::Heard, out);
         }
     }
 
     fn about_me(&mut self, update: &Update, source: SocketAddrV4, out: &mut Vec<Action>) {
-        if update.state == State::Alive || self.leaving {
+        if self.leaving {
             return;
         }
+        let said = Record { state: update.state, incarnation: update.incarnation };
+        let Some(higher) = record::refute(self.incarnation, said) else { return };
         if update.incarnation > self.incarnation.saturating_add(FAR_AHEAD) {
             self.refusals.future += 1;
             self.last_sender = Some(source);
             return;
         }
-        if update.incarnation < self.incarnation {
-            return;
-        }
-        // Refute: only this member raises its own incarnation.
-        self.incarnation = update.incarnation + 1;
+        self.incarnation = higher;
         self.version += 1;
         if self.settings.lifeguard {
             self.awareness = (self.awareness + 1).min(self.settings.awareness_max);
@@ -142,39 +149,31 @@
         let count = self.live_count();
         let (least, most) = self.settings.suspicion_ms(count);
         let lifeguard = self.settings.lifeguard;
-        let expected = if lifeguard { self.settings.indirect } else { 0 };
+        // No more confirmations are waited for than there are others to give them.
+        let expected = if lifeguard { self.settings.indirect.min(count.saturating_sub(2)) } else { 0 };
         let now = self.now;
         let Some(entry) = self.table.get_mut(id) else { return };
-        if !entry.state.live() || incarnation < entry.incarnation {
-            return;
-        }
-        if entry.state == State::Suspect && incarnation == entry.incarnation {
-            if lifeguard {
+        let Some(suspected) = entry.record().suspect(incarnation) else {
+            if lifeguard && entry.state == State::Suspect && incarnation == entry.incarnation {
                 if let Some(suspicion) = entry.suspicion.as_mut() {
-                    if suspicion.confirm(by) {
+                    if suspicion.confirm(by.clone()) {
                         // A confirmation is news too: others' timers shorten by it.
-                        let update =
-                            Update { state: State::Suspect, incarnation, member: entry.member.clone() };
-                        self.spread.push(update);
+                        let (by, member) = (Some(by), entry.member.clone());
+                        self.spread.push(Update { state: State::Suspect, incarnation, by, member });
                     }
                 }
             }
             return;
-        }
+        };
         // Without Lifeguard a suspicion lasts its least, as SWIM has it.
         let most = if lifeguard { most } else { least };
-        entry.suspicion = Some(Suspicion::new(now, least, most, expected, by));
+        entry.suspicion = Some(Suspicion::new(now, least, most, expected, by.clone()));
         let member = entry.member.clone();
-        self.set(id, State::Suspect, incarnation, cause, out);
-        self.spread.push(Update { state: State::Suspect, incarnation, member });
-    }
-
-    pub(crate) fn set_state(&mut self, id: &Id, to: State, cause: Cause, out: &mut Vec<Action>) {
-        let incarnation = self.table.get(id).map_or(0, |e| e.incarnation);
-        self.set(id, to, incarnation, cause, out);
+        self.set(id, suspected.state, suspected.incarnation, cause, out);
+        self.spread.push(Update { state: State::Suspect, incarnation, by: Some(by), member });
     }
 
-    fn set(&mut self, id: &Id, to: State, incarnation: u64, cause: Cause, out: &mut Vec<Action>) {
+    pub(crate) fn set(&mut self, id: &Id, to: State, incarnation: u64, cause: Cause, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(entry) = self.table.get_mut(id) else { return };
         let changed = entry.state != to;
@@ -183,6 +182,8 @@
             entry.suspicion = None;
         }
         if changed {
+            self.tally.remove(entry.state);
+            self.tally.add(to);
             entry.state = to;
             entry.since = now;
             out.push(Action::Changed { id: id.clone(), to: Some(to), incarnation, cause });
--- a/crates/heathspur-members/src/suspicion.rs
+++ b/crates/heathspur-members/src/suspicion.rs
@@ -11,6 +11,7 @@
     most: u64,
     expected: usize,
     confirmers: BTreeSet<Id>,
+    convicted: bool,
 }
 
 impl Suspicion {
@@ -18,7 +19,12 @@
     pub fn new(now: u64, least: u64, most: u64, expected: usize, by: Id) -> Suspicion {
         let mut confirmers = BTreeSet::new();
         confirmers.insert(by);
-        Suspicion { started: now, least, most: most.max(least), expected, confirmers }
+        Suspicion { started: now, least, most: most.max(least), expected, confirmers, convicted: false }
+    }
+
+    /// One of those who accuse.
+    pub fn accuser(&self) -> Option<&Id> {
+        self.confirmers.first()
     }
 
     /// Another member suspects the same; says whether it was new. Bounded by the expected count.
@@ -29,10 +35,16 @@
         self.confirmers.insert(by)
     }
 
+    /// Somebody's timer has run out: as good as all confirmations. The least time still stands, in which the
+    /// suspect may refute here.
+    pub fn convict(&mut self) {
+        self.convicted = true;
+    }
+
     /// When the suspect is taken for dead: `most`, falling by the log of confirmations to `least`.
     pub fn deadline(&self) -> u64 {
         let confirmed = self.confirmers.len().saturating_sub(1) as f64;
-        if self.expected == 0 {
+        if self.expected == 0 || self.convicted {
             return self.started + self.least;
         }
         let fraction = ((confirmed + 1.0).ln() / (self.expected as f64 + 1.0).ln()).min(1.0);
