Tell the fleet of load and of a drain at its start, and show a daemon's view from outside

Cause: the load summary was carried empty, and a drain was told as leaving only once it had ended: others counted on a server through the whole of its drain, and its end came 300 ms late.

Change: the owner leaves requests in flight, the module's cap and its refusals in three atomics that the membership's thread reads; a drain says so at once and the thread goes on listening until the process ends. `heathspurctl members ADDR` asks for the view part by part and prints a table or JSON. The harness of the process tests lives in the rig now (fleet.rs), for the issues to come.

Measured: nothing yet; the owner's path does one test for an absent handle a batch and a refusal.

--- a/crates/heathspur-rig/src/lib.rs
+++ b/crates/heathspur-rig/src/lib.rs
@@ -7,6 +7,7 @@
 #![allow(missing_docs)]
 
 pub mod capture;
+pub mod fleet;
 pub mod http2;
 pub mod proxy;
 pub mod relay;
--- a/crates/heathspurctl/src/cli.rs
+++ b/crates/heathspurctl/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::given::{Fault, Source};
-use crate::{config, cut, info, load_run, replay, requests};
+use crate::{config, cut, info, load_run, members, replay, requests};
 use clap::{CommandFactory, Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -25,6 +25,8 @@
     Pcap(Pcap),
     /// Send requests at their intended times, by a plan, over HTTP/1.1 and HTTP/2.
     Load(load_run::Options),
+    /// The view that a running daemon has of its fleet.
+    Members(members::Options),
     /// The operator's file.
     #[command(subcommand)]
     Config(Config),
@@ -71,6 +73,7 @@
         Command::Pcap(Pcap::Cut(options)) => cut::run(&options),
         Command::Pcap(Pcap::Replay(options)) => replay::run(&options),
         Command::Load(options) => load_run::run(&options),
+        Command::Members(options) => members::run(&options),
         Command::Config(Config::Check { file, memory }) => config::check(&file, memory),
         Command::Config(Config::Schema) => {
             print!("{}", heathspur_operator::SCHEMA);
--- a/crates/heathspurctl/src/main.rs
+++ b/crates/heathspurctl/src/main.rs
@@ -11,6 +11,7 @@
 mod load;
 mod load_run;
 mod load_target;
+mod members;
 mod replay;
 mod report;
 mod requests;
--- /dev/null
+++ b/crates/heathspurctl/src/members.rs
@@ -0,0 +1,178 @@
+//! The view that a running daemon has of its fleet.
+
+use crate::given::Fault;
+use crate::table::plain;
+use clap::Args;
+use heathspur_members::wire::{self, Ask, Body, Envelope, Row, Seen, LARGEST};
+use heathspur_members::Id;
+use serde_json::json;
+use std::io;
+use std::net::{SocketAddrV4, UdpSocket};
+use std::time::{Duration, Instant};
+
+/// One question is asked so often before the daemon counts as silent.
+const TRIES: u32 = 5;
+
+/// Whom to ask.
+#[derive(Debug, Args)]
+pub struct Options {
+    /// Where the daemon listens for its peers (`members@listen` in its operator's file).
+    address: SocketAddrV4,
+    /// An object of JSON instead of a table.
+    #[arg(long)]
+    json: bool,
+    /// Wait so long for each answer, in milliseconds; each question is asked five times at most.
+    #[arg(long, value_name = "MS", default_value_t = 500, value_parser = clap::value_parser!(u64).range(1..=60_000))]
+    wait: u64,
+}
+
+/// A whole view, put together from its parts.
+struct Whole {
+    from: Id,
+    head: Seen,
+    rows: Vec<Row>,
+}
+
+/// Asks for the view and prints it.
+pub fn run(options: &Options) -> Result<(), Fault> {
+    let wait = Duration::from_millis(options.wait);
+    let whole = ask(options.address, wait).map_err(|e| {
+        let what = format!("{}: the daemon does not tell its view: {e}", options.address);
+        Fault::Other(2, what)
+    })?;
+    if options.json {
+        print_json(&whole);
+    } else {
+        print_table(&whole);
+    }
+    Ok(())
+}
+
+fn ask(address: SocketAddrV4, wait: Duration) -> io::Result<Whole> {
+    let socket = UdpSocket::bind("0.0.0.0:0")?;
+    socket.connect(address)?;
+    let mut rows: Vec<Row> = Vec::new();
+    let mut seq = 0;
+    loop {
+        seq += 1;
+        let after = rows.last().map(|row| row.member.id.clone());
+        let (from, seen) = part(&socket, seq, after, wait)?;
+        // A view that shrinks or grows meanwhile still ends: ids only rise.
+        let more = seen.more && !seen.rows.is_empty();
+        let mut head = seen.clone();
+        head.rows.clear();
+        rows.extend(seen.rows);
+        if !more {
+            return Ok(Whole { from, head, rows });
+        }
+    }
+}
+
+/// One part of the view, as long as a datagram may be.
+fn part(socket: &UdpSocket, seq: u32, after: Option<Id>, wait: Duration) -> io::Result<(Id, Seen)> {
+    let mut ask = Envelope {
+        from: Id("heathspurctl".into()),
+        body: Body::Ask(Ask { seq, after: after.clone(), padding: Vec::new() }),
+        updates: Vec::new(),
+    };
+    // The padding's own length takes two bytes instead of one.
+    let padding = vec![0; LARGEST - wire::encoded_len(&ask) - 1];
+    ask.body = Body::Ask(Ask { seq, after, padding });
+    let question = wire::encode(&ask).ok_or_else(|| io::Error::other("the question is too long"))?;
+    let mut buffer = vec![0; LARGEST + 1];
+    let mut last = io::Error::new(io::ErrorKind::TimedOut, "no answer");
+    for _ in 0..TRIES {
+        socket.send(&question)?;
+        let until = Instant::now() + wait;
+        while let Some(left) = until.checked_duration_since(Instant::now()).filter(|left| !left.is_zero()) {
+            socket.set_read_timeout(Some(left))?;
+            match socket.recv(&mut buffer) {
+                Ok(len) => match wire::decode(&buffer[..len]) {
+                    Ok(Envelope { from, body: Body::Seen(seen), .. }) if seen.seq == seq => {
+                        return Ok((from, seen));
+                    }
+                    Err(wire::Refusal::Version) => {
+                        return Err(io::Error::other("it speaks another version of the protocol"));
+                    }
+                    _ => {}
+                },
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+                Err(e) => {
+                    // Nobody listens there, as far as is told; it may be starting.
+                    last = e;
+                    std::thread::sleep(left.min(wait));
+                }
+            }
+        }
+    }
+    Err(last)
+}
+
+fn print_json(whole: &Whole) {
+    let rows: Vec<_> = whole
+        .rows
+        .iter()
+        .map(|row| {
+            let (m, load) = (&row.member, row.member.load);
+            json!({
+                "id": m.id.0, "state": row.state.word(), "incarnation": row.incarnation, "for_ms": row.for_ms,
+                "address": m.address, "zone": m.zone, "region": m.region, "version": m.version,
+                "in_flight": load.in_flight, "cap": load.cap, "refusals_per_s": load.refusals, "epoch": m.epoch,
+            })
+        })
+        .collect();
+    let head = &whole.head;
+    let all = json!({
+        "member": whole.from.0, "view": head.version, "awareness": head.awareness, "refused": head.refused,
+        "members": rows,
+    });
+    println!("{all:#}");
+}
+
+fn print_table(whole: &Whole) {
+    let head = &whole.head;
+    println!(
+        "view {} of {}: {} members, local health {} (0 is healthy), {} datagrams or updates refused",
+        head.version, whole.from, head.members, head.awareness, head.refused
+    );
+    let mut table = plain();
+    let names = [
+        "member",
+        "state",
+        "for",
+        "incarnation",
+        "address",
+        "zone",
+        "region",
+        "version",
+        "in flight",
+        "cap",
+        "refusals/s",
+        "epoch",
+    ];
+    table.set_header(names);
+    for row in &whole.rows {
+        let (m, load) = (&row.member, row.member.load);
+        let since = match row.for_ms {
+            0 => "-".to_string(),
+            ms => format!("{:.1} s", ms as f64 / 1e3),
+        };
+        let numbers = [load.in_flight, load.cap, load.refusals].map(|n| n.to_string());
+        let [in_flight, cap, refusals] = numbers;
+        table.add_row([
+            m.id.to_string(),
+            row.state.word().to_string(),
+            since,
+            row.incarnation.to_string(),
+            m.address.to_string(),
+            m.zone.clone(),
+            m.region.clone(),
+            m.version.to_string(),
+            in_flight,
+            cap,
+            refusals,
+            m.epoch.to_string(),
+        ]);
+    }
+    println!("{table}");
+}
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -125,12 +125,13 @@
     };
     let tap = recording.as_ref().map(|recording| recording.tap.clone());
     let executor = Rc::new(LocalExecutor::new());
-    let served =
-        async_io::block_on(executor.run(serve::serve(executor.clone(), config, listeners, notice, tap)));
+    let peers = membership.as_ref().map(members::Membership::handle);
+    let serving = serve::serve(executor.clone(), config, listeners, notice, tap, peers);
+    let served = async_io::block_on(executor.run(serving));
     // What streams are left hold the tap.
     drop(executor);
     if let Some(membership) = membership {
-        membership.leave();
+        membership.stop();
     }
     if let Some(recording) = recording {
         recording.finish(LAST_BLOCKS);
--- a/crates/heathspurd/src/owner.rs
+++ b/crates/heathspurd/src/owner.rs
@@ -7,6 +7,7 @@
 use crate::interpreter;
 use crate::keys::Keys;
 use crate::link::Target;
+use crate::members::Handle;
 use crate::store;
 use crate::table::Table;
 use async_channel::Sender;
@@ -52,6 +53,8 @@
     pub timers: BinaryHeap<Reverse<(Time, Token)>>,
     pub call_timers: BTreeSet<(Time, RequestId)>,
     pub next_call: u64,
+    /// Where the fleet's view is kept: what others are told of this server.
+    pub members: Option<Handle>,
     pub events: Vec<Event>,
     /// The time of this batch.
     pub now: Time,
--- a/crates/heathspurd/src/route.rs
+++ b/crates/heathspurd/src/route.rs
@@ -15,6 +15,9 @@
             Action::Run(id) => self.run(id),
             Action::Stop(id) => self.stop(id),
             Action::Refuse { id, stay_away, last } => {
+                if let Some(members) = &self.members {
+                    members.refused();
+                }
                 self.answer(id, Answer::Refused { stay_away, last });
                 self.discard(id);
             }
--- a/crates/heathspurd/src/serve.rs
+++ b/crates/heathspurd/src/serve.rs
@@ -13,6 +13,7 @@
 use crate::interpreter;
 use crate::keys::Keys;
 use crate::link::Target;
+use crate::members::Handle;
 use crate::owner::{LinkState, Owner, Targets};
 use crate::room::Room;
 use crate::signals;
@@ -68,6 +69,7 @@
     listeners: Listeners,
     notice: Signals,
     tap: Option<Rc<Tap>>,
+    members: Option<Handle>,
 ) -> io::Result<()> {
     let (news, new_news) = async_channel::bounded(NEWS);
     let (shutter, shutting) = async_channel::bounded(1);
@@ -129,6 +131,7 @@
         timers: BinaryHeap::new(),
         call_timers: BTreeSet::new(),
         next_call: 1,
+        members,
         events: Vec::new(),
         now: clock.now(),
         clock,
--- a/crates/heathspurd/src/table.rs
+++ b/crates/heathspurd/src/table.rs
@@ -82,6 +82,11 @@
 }
 
 impl Table {
+    /// Requests in it: held, running, at calls, waiting.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Entry> {
         self.entries.get_mut(&id)
     }
--- a/crates/heathspurd/src/work.rs
+++ b/crates/heathspurd/src/work.rs
@@ -115,8 +115,12 @@
         }
         let Some(module) = &mut self.module else { return };
         module.decide(self.now, &self.events, actions);
+        let cap = module.cap();
         self.events.clear();
         self.carry_out(actions);
+        if let Some(members) = &self.members {
+            members.load(self.table.len(), cap);
+        }
     }
 
     fn carry_out(&mut self, actions: &mut Vec<Action>) {
@@ -193,6 +197,9 @@
         let shut = span(stop.saturating_sub(LEAVE)).min(self.settings.drain_grace);
         // The last answers are given before the stop that the module is told; they are on their way then.
         self.leaving = Some((self.now + shut, self.now + span(stop + EARLY / 2)));
+        if let Some(members) = &self.members {
+            members.leave();
+        }
         self.desk.leaving.set(true);
         self.desk.let_go.set(Some(self.clock.instant(self.now + span(stop.saturating_sub(LEAVE)))));
         self.desk.crowd.tell_closed(self.closed.clone());
