--- a/crates/heathspur-measure/src/main.rs
+++ b/crates/heathspur-measure/src/main.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod http2;
 mod large;
+mod members;
 mod storm;
 mod table;
 
@@ -46,6 +47,12 @@
         #[arg(long, default_value_t = 20)]
         drains: u64,
     },
+    /// The fleet's view: processes on loopback, and the emulator.
+    Members {
+        /// Where the table and charts go.
+        #[arg(long)]
+        results: PathBuf,
+    },
     /// What a request costs the daemon, alone.
     Cost {
         /// The daemon as it was before.
@@ -72,6 +79,11 @@
             http2::measure(&folder, &baseline, drains, &mut table);
             table.finish(&results)
         }
+        What::Members { results } => {
+            let mut table = Table::new("members");
+            members::measure(&folder, &results, &mut table);
+            table.finish(&results)
+        }
         What::Cost { baseline } => {
             let mut table = Table::new("cost");
             cost::measure(&folder, &baseline, &mut table);
--- a/crates/heathspur-measure/src/table.rs
+++ b/crates/heathspur-measure/src/table.rs
@@ -7,11 +7,14 @@
     name: &'static str,
     rows: Vec<(String, String, String, bool)>,
     figures: Vec<String>,
+    charts: Vec<(String, String)>,
+    where_run: &'static str,
 }
 
 impl Table {
     pub fn new(name: &'static str) -> Table {
-        Table { name, rows: Vec::new(), figures: Vec::new() }
+        let where_run = "Everything on loopback, against stand-ins of this repository.";
+        Table { name, rows: Vec::new(), figures: Vec::new(), charts: Vec::new(), where_run }
     }
 
     /// A row with what is asked of it.
@@ -30,12 +33,22 @@
         self.figures.push(figure);
     }
 
+    /// Another word on where things ran.
+    pub fn ran(&mut self, where_run: &'static str) {
+        self.where_run = where_run;
+    }
+
+    /// A chart beside the page.
+    pub fn chart(&mut self, title: &str, file: &str) {
+        self.charts.push((title.to_string(), file.to_string()));
+    }
+
     /// Writes the page, prints the last line.
     pub fn finish(self, results: &Path) -> ExitCode {
         let holds = self.rows.iter().all(|row| row.3);
         let verdict = if holds { "PASS" } else { "FAIL" };
         let mut page = format!("# Measured: {}\n\n{}\n\n", self.name, machine());
-        page += "Everything on loopback, against stand-ins of this repository.\n\n";
+        page += &format!("{}\n\n", self.where_run);
         page += "| what | measured | asked | holds |\n| --- | --- | --- | --- |\n";
         for (what, got, asked, holds) in &self.rows {
             page += &format!("| {what} | {got} | {asked} | {} |\n", if *holds { "yes" } else { "no" });
@@ -46,6 +59,9 @@
                 page += &format!("\n![{title}]({file})\n");
             }
         }
+        for (title, file) in &self.charts {
+            page += &format!("\n![{title}]({file})\n");
+        }
         let written = std::fs::write(results.join(format!("{}.md", self.name)), page);
         println!("{}: {verdict} {}", self.name, self.figures.join(", "));
         ExitCode::from(u8::from(!holds || written.is_err()))
--- a/crates/heathspur-members/src/merge.rs
+++ b/crates/heathspur-members/src/merge.rs
@@ -126,7 +126,13 @@
             return;
         }
         let said = Record { state: update.state, incarnation: update.incarnation };
-        let Some(higher) = record::refute(self.incarnation, said) else { return };
+        let Some(higher) = record::refute(self.incarnation, said) else {
+            // Refuted already, and who says so has not heard: it is told, or it alone would take this member for dead.
+            if self.settings.lifeguard && said.state != State::Alive {
+                self.send(source, Body::Gossip, true, out);
+            }
+            return;
+        };
         if update.incarnation > self.incarnation.saturating_add(FAR_AHEAD) {
             self.refusals.future += 1;
             self.last_sender = Some(source);
@@ -147,11 +153,14 @@
     /// `by` suspects `id` at `incarnation`: a new suspicion, or a confirmation of one running.
     pub(crate) fn suspect(&mut self, id: &Id, incarnation: u64, by: Id, cause: Cause, out: &mut Vec<Action>) {
         let count = self.live_count();
-        let (least, most) = self.settings.suspicion_ms(count);
+        let (mut least, mut most) = self.settings.suspicion_ms(count);
         let lifeguard = self.settings.lifeguard;
         // No more confirmations are waited for than there are others to give them.
         let expected = if lifeguard { self.settings.indirect.min(count.saturating_sub(2)) } else { 0 };
         let now = self.now;
+        // Who is slow by its own word, or as was seen here, refutes as slowly.
+        let slow = self.table.get(id).map_or(0, |entry| self.usual_wait(entry));
+        (least, most) = (least + slow, most + slow);
         let Some(entry) = self.table.get_mut(id) else { return };
         let Some(suspected) = entry.record().suspect(incarnation) else {
             if lifeguard && entry.state == State::Suspect && incarnation == entry.incarnation {
--- a/crates/heathspur-members/src/probe.rs
+++ b/crates/heathspur-members/src/probe.rs
@@ -94,7 +94,7 @@
 
     /// How long an ack of a member may take as it usually does, in milliseconds: twice its round trip, the usual
     /// one here, or what it says of its own, whichever is longest. A member that is slow but answers is not suspected anew each time.
-    fn usual_wait(&self, entry: &Entry) -> u64 {
+    pub(crate) fn usual_wait(&self, entry: &Entry) -> u64 {
         if !self.settings.lifeguard {
             return 0;
         }
--- a/crates/heathspur-members/tests/input.rs
+++ b/crates/heathspur-members/tests/input.rs
@@ -159,6 +159,25 @@
     assert_eq!(core.refusals().rate, 5_000 - 16);
 }
 
+#[test]
+fn who_accuses_it_at_an_incarnation_it_has_left_behind_is_told_the_new_one() {
+    let mut core = core();
+    let mut suspect = Update { state: State::Suspect, incarnation: 12, by: None, member: member(0) };
+    let accuse = |core: &mut Members, by: u8, suspect: &Update| {
+        let updates = vec![suspect.clone()];
+        let envelope = Envelope { from: Id(format!("m{by}")), body: Body::Gossip, updates };
+        deliver(core, member(by).address, &envelope)
+    };
+    accuse(&mut core, 1, &suspect);
+    // Another one hears of it late.
+    suspect.state = State::Dead;
+    let out = accuse(&mut core, 2, &suspect);
+    assert_eq!(core.incarnation(), 13);
+    let [Action::Send { to, bytes }] = &out[..] else { panic!("{out:?}") };
+    let told = &wire::decode(bytes).unwrap().updates[0];
+    assert_eq!((*to, told.state, told.incarnation), (member(2).address, State::Alive, 13));
+}
+
 /// Asks for the whole view, part by part, as a tool does.
 fn ask_all(core: &mut Members, padding: usize) -> Vec<wire::Row> {
     let (mut rows, mut after) = (Vec::<wire::Row>::new(), None);
--- a/crates/heathspur-rig/src/relay.rs
+++ b/crates/heathspur-rig/src/relay.rs
@@ -5,6 +5,7 @@
 use rand::{RngExt, SeedableRng};
 use std::collections::HashSet;
 use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{self, Receiver, SyncSender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -43,6 +44,8 @@
     pub real: Vec<SocketAddr>,
     /// Its rules, changed by the test.
     pub rules: Arc<Mutex<Rules>>,
+    /// Datagrams and bytes that came to it so far, from all members.
+    pub came: Arc<(AtomicU64, AtomicU64)>,
 }
 
 /// Datagrams held back for delay at once.
@@ -60,11 +63,13 @@
     pub fn start(members: usize) -> Relay {
         let sockets: Vec<UdpSocket> = (0..members).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
         let ports: Vec<SocketAddr> = sockets.iter().map(|s| s.local_addr().unwrap()).collect();
-        // Free ports for the members themselves: bound, read, let go.
-        let real: Vec<SocketAddr> =
-            (0..members).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()).collect();
+        // Free ports for the members themselves: all bound, read, and only then let go, so that none comes twice.
+        let free: Vec<UdpSocket> = (0..members).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+        let real: Vec<SocketAddr> = free.iter().map(|s| s.local_addr().unwrap()).collect();
+        drop(free);
         let rules = Arc::new(Mutex::new(Rules { slow: vec![Duration::ZERO; members], ..Rules::default() }));
         let sockets: Arc<Vec<UdpSocket>> = Arc::new(sockets);
+        let came = Arc::new((AtomicU64::new(0), AtomicU64::new(0)));
         // Bounded: past it a delayed datagram is lost, as on a full link.
         let (later, queue) = mpsc::sync_channel::<Later>(DELAYED);
         let out = sockets.clone();
@@ -72,9 +77,10 @@
         thread::spawn(move || delayed(queue, out, targets));
         for to in 0..members {
             let (sockets, rules, real, later) = (sockets.clone(), rules.clone(), real.clone(), later.clone());
-            thread::spawn(move || forward(to, sockets, rules, real, later));
+            let came = came.clone();
+            thread::spawn(move || forward(to, sockets, rules, real, later, came));
         }
-        Relay { ports, real, rules }
+        Relay { ports, real, rules, came }
     }
 
     /// Changes the rules.
@@ -89,6 +95,7 @@
     rules: Arc<Mutex<Rules>>,
     real: Vec<SocketAddr>,
     later: SyncSender<Later>,
+    came: Arc<(AtomicU64, AtomicU64)>,
 ) {
     let mut buffer = [0u8; 2048];
     let mut draw = StdRng::seed_from_u64(0x2545_f491_4f6c_dd1d ^ to as u64);
@@ -97,6 +104,8 @@
         let Ok((len, source)) = sockets[to].recv_from(&mut buffer) else { continue };
         // Members send from the socket they listen on, so the source tells who sent.
         let Some(from) = real.iter().position(|r| *r == source) else { continue };
+        came.0.fetch_add(1, Ordering::Relaxed);
+        came.1.fetch_add(len as u64, Ordering::Relaxed);
         let rules = rules.lock().unwrap().clone();
         if !rules.passes(from, to) || chance() < rules.loss {
             continue;
--- a/crates/heathspurctl/src/members.rs
+++ b/crates/heathspurctl/src/members.rs
@@ -117,7 +117,7 @@
             json!({
                 "id": m.id.0, "state": row.state.word(), "incarnation": row.incarnation, "for_ms": row.for_ms,
                 "address": m.address, "zone": m.zone, "region": m.region, "version": m.version,
-                "in_flight": load.in_flight, "cap": load.cap, "refusals_per_s": load.refusals, "epoch": m.epoch,
+                "in_flight": load.in_flight, "cap": load.cap, "refusals_per_s": load.refusals, "lag_ms": m.lag_ms, "epoch": m.epoch,
             })
         })
         .collect();
@@ -148,6 +148,7 @@
         "in flight",
         "cap",
         "refusals/s",
+        "lag",
         "epoch",
     ];
     table.set_header(names);
@@ -171,6 +172,7 @@
             in_flight,
             cap,
             refusals,
+            format!("{} ms", m.lag_ms),
             m.epoch.to_string(),
         ]);
     }
