--- a/crates/heathspur-emulator/src/fleet.rs
+++ b/crates/heathspur-emulator/src/fleet.rs
@@ -120,6 +120,8 @@
                     load: Load::default(),
                     lag_ms: 0,
                     epoch: 0,
+                    near: 10,
+                    wants: 10,
                 },
                 paused_until: 0,
                 slow_ms: 0,
--- a/crates/heathspur-members/src/core.rs
+++ b/crates/heathspur-members/src/core.rs
@@ -1,6 +1,6 @@
 //! The member's state machine: what it holds, and how events turn into actions.
 
-use crate::member::{Id, Load, Member, State};
+use crate::member::{Id, Load, Member, Stand, State};
 use crate::probe::{Probe, Relay};
 use crate::record::Record;
 use crate::refusals::{Refusals, Told};
@@ -265,12 +265,23 @@
         }
     }
 
-    /// Sets what this member says of its load and state epoch; it goes out with its next datagrams.
-    pub fn set_load(&mut self, load: Load, epoch: u64) {
-        if self.me.load != load || self.me.epoch != epoch {
-            self.me.load = load;
-            self.me.epoch = epoch;
+    /// Sets what this member says of its load; it goes out with its next datagrams.
+    pub fn set_load(&mut self, load: Load) {
+        self.me.load = load;
+    }
+
+    /// Sets what it says of its zone's decision. That is news, and is spread like other news.
+    pub fn set_stand(&mut self, stand: Stand, out: &mut Vec<Action>) {
+        let Stand { epoch, near, wants } = stand;
+        if (self.me.epoch, self.me.near, self.me.wants) == (epoch, near, wants) || self.leaving {
+            return;
         }
+        (self.me.epoch, self.me.near, self.me.wants) = (epoch, near, wants);
+        self.incarnation += 1;
+        self.version += 1;
+        out.push(Action::Incarnation(self.incarnation));
+        self.spread.push(self.me_update());
+        self.gossip_now(out);
     }
 
     /// Takes in members that are known to be there, without news of them: where a fleet stands already.
--- a/crates/heathspur-members/src/lib.rs
+++ b/crates/heathspur-members/src/lib.rs
@@ -24,6 +24,6 @@
 pub mod wire;
 
 pub use crate::core::{Action, Cause, Entry, Event, Members, View};
-pub use member::{Id, Load, Member, State, LONGEST_NAME};
+pub use member::{Id, Load, Member, Stand, State, LONGEST_NAME, WHOLE};
 pub use refusals::{Refusals, Told};
 pub use settings::{OutOfBounds, Settings};
--- a/crates/heathspur-members/src/member.rs
+++ b/crates/heathspur-members/src/member.rs
@@ -46,15 +46,34 @@
     /// How long its round trips to others usually take, in milliseconds, by its own word: others wait for its
     /// acks accordingly, within their bound.
     pub lag_ms: u32,
-    /// The epoch of the state that it decides on (the failover's, later).
+    /// The epoch of the decision that it holds in common with its zone; 0 before the first, or without failover.
     pub epoch: u64,
+    /// That decision: tenths of its zone's traffic that stay near, 0 to [`WHOLE`].
+    pub near: u8,
+    /// The level that it wants itself.
+    pub wants: u8,
+}
+
+/// All traffic stays near.
+pub const WHOLE: u8 = 10;
+
+/// What a member holds and wants of its zone's decision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stand {
+    /// The decision's epoch.
+    pub epoch: u64,
+    /// The decision's level.
+    pub near: u8,
+    /// The level that the member wants.
+    pub wants: u8,
 }
 
 impl Member {
-    /// Whether its names keep within their bounds.
+    /// Whether its names and levels keep within their bounds.
     pub fn well_formed(&self) -> bool {
         let fits = |s: &str| s.len() <= LONGEST_NAME;
-        !self.id.0.is_empty() && fits(&self.id.0) && fits(&self.zone) && fits(&self.region)
+        let levels = self.near <= WHOLE && self.wants <= WHOLE;
+        levels && !self.id.0.is_empty() && fits(&self.id.0) && fits(&self.zone) && fits(&self.region)
     }
 }
 
--- a/crates/heathspur-members/tests/input.rs
+++ b/crates/heathspur-members/tests/input.rs
@@ -1,7 +1,7 @@
 //! Bad input is counted and dropped; bounds hold; nothing a peer sends makes a member panic.
 
 use heathspur_members::wire::{self, Body, Envelope, Update, LARGEST};
-use heathspur_members::{Action, Event, Id, Load, Member, Members, Settings, State};
+use heathspur_members::{Action, Event, Id, Load, Member, Members, Settings, Stand, State};
 use proptest::prelude::*;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -15,6 +15,8 @@
         load: Load::default(),
         lag_ms: 0,
         epoch: 0,
+        near: 10,
+        wants: 10,
     }
 }
 
@@ -178,6 +180,38 @@
     assert_eq!((*to, told.state, told.incarnation), (member(2).address, State::Alive, 13));
 }
 
+#[test]
+fn what_a_member_holds_and_wants_is_spread_beyond_those_it_speaks_to() {
+    let (mut core, mut other) = (core(), Members::new(Settings::default(), member(1), 10, vec![], 2));
+    core.know((1..4).map(|i| (member(i), 5)));
+    other.know([(member(0), 10), (member(2), 5)]);
+    let mut out = Vec::new();
+    let stand = Stand { epoch: 3, near: 4, wants: 2 };
+    core.set_stand(stand, &mut out);
+    assert!(out.contains(&Action::Incarnation(11)));
+    let sent = out.iter().find_map(|a| match a {
+        Action::Send { to, bytes } if *to == member(1).address => Some(bytes.clone()),
+        _ => None,
+    });
+    let mut passed = Vec::new();
+    other.handle(1, Event::Datagram { from: member(0).address, bytes: &sent.unwrap() }, &mut passed);
+    let held = &other.entry(&Id("m0".into())).unwrap().member;
+    assert_eq!((held.epoch, held.near, held.wants), (3, 4, 2));
+    // It passes that on.
+    (1..1_000).for_each(|now| other.handle(now, Event::Tick, &mut passed));
+    let tells = |bytes: &[u8]| {
+        let updates = wire::decode(bytes).unwrap().updates;
+        updates.iter().any(|u| u.member.id.0 == "m0" && u.member.epoch == 3 && u.incarnation == 11)
+    };
+    assert!(passed
+        .iter()
+        .any(|a| matches!(a, Action::Send { to, bytes } if *to == member(2).address && tells(bytes))));
+    // The same again is no news.
+    out.clear();
+    core.set_stand(stand, &mut out);
+    assert!(out.is_empty());
+}
+
 /// Asks for the whole view, part by part, as a tool does.
 fn ask_all(core: &mut Members, padding: usize) -> Vec<wire::Row> {
     let (mut rows, mut after) = (Vec::<wire::Row>::new(), None);
--- a/crates/heathspurctl/src/members.rs
+++ b/crates/heathspurctl/src/members.rs
@@ -117,7 +117,7 @@
             json!({
                 "id": m.id.0, "state": row.state.word(), "incarnation": row.incarnation, "for_ms": row.for_ms,
                 "address": m.address, "zone": m.zone, "region": m.region, "version": m.version,
-                "in_flight": load.in_flight, "cap": load.cap, "refusals_per_s": load.refusals, "lag_ms": m.lag_ms, "epoch": m.epoch,
+                "in_flight": load.in_flight, "cap": load.cap, "refusals_per_s": load.refusals, "lag_ms": m.lag_ms, "epoch": m.epoch, "near": m.near, "wants": m.wants,
             })
         })
         .collect();
@@ -150,6 +150,7 @@
         "refusals/s",
         "lag",
         "epoch",
+        "near",
     ];
     table.set_header(names);
     for row in &whole.rows {
@@ -174,6 +175,7 @@
             refusals,
             format!("{} ms", m.lag_ms),
             m.epoch.to_string(),
+            format!("{}/10, wants {}", m.near, m.wants),
         ]);
     }
     println!("{table}");
--- a/crates/heathspurd/src/members.rs
+++ b/crates/heathspurd/src/members.rs
@@ -117,6 +117,8 @@
             load: Load::default(),
             lag_ms: 0,
             epoch: 0,
+            near: 10,
+            wants: 10,
         };
         let incarnation = first_incarnation();
         let tick = TICK.min(operated.period.0 / 10);
@@ -234,7 +236,7 @@
             cap: self.gauge.cap.load(Ordering::Relaxed),
             refusals: counted.2,
         };
-        self.core.set_load(load, 0);
+        self.core.set_load(load);
     }
 }
 
