Plan an instance's failover from the view, and pick replicas within shares and budget

zone.rs joins sight, register, shares and spare to one step: calls, checks and the other members in; the decision, what is said to others, shares and budgets out. pick.rs turns shares into single choices in a smooth rotation and turns a call away where who is due has no room. Checks alone speak for two tenths at most: what answers one may still serve no call.

--- a/crates/heathspur-route/src/health.rs
+++ b/crates/heathspur-route/src/health.rs
@@ -12,6 +12,8 @@
 const QUIET_FALL_MS: f64 = 5_000.0;
 /// Calls that take up to this many times their quiet time count as whole.
 const SLACK: f64 = 2.0;
+/// The level that checks without calls speak for at most.
+pub const CHECKED: u8 = 2;
 /// Calls that have to be remembered, by weight, before anything is said.
 const LEAST: f64 = 3.0;
 /// Envoy's overprovisioning factor: a replica that is healthy to 10 in 14 still takes all of its zone.
@@ -22,6 +24,8 @@
 pub struct Health {
     calls: f64,
     good: f64,
+    /// Good calls whose times are known; a check's is none.
+    timed: f64,
     /// The decaying sum of the times of good calls, in milliseconds.
     took: f64,
     /// The mean time of a call in quiet, in milliseconds; 0 before it is known.
@@ -34,11 +38,12 @@
         let left = (-(elapsed_ms as f64) / DECAY_MS).exp();
         self.calls *= left;
         self.good *= left;
+        self.timed *= left;
         self.took *= left;
-        if self.good < LEAST {
+        if self.timed < LEAST {
             return;
         }
-        let mean = self.took / self.good;
+        let mean = self.took / self.timed;
         if self.quiet == 0.0 {
             self.quiet = mean;
         }
@@ -46,14 +51,19 @@
         self.quiet += (mean - self.quiet) * (1.0 - (-(elapsed_ms as f64) / over).exp());
     }
 
-    /// A call ended: well or not, after so many milliseconds. A call that was given up is not well.
-    pub fn called(&mut self, good: bool, took_ms: f64) {
-        self.calls += 1.0;
-        if !good {
-            return;
-        }
-        self.good += 1.0;
-        self.took += took_ms.max(0.01);
+    /// So many calls ended well, with their times in milliseconds summed, and so many not. A call that was given up
+    /// because it took too long is not well.
+    pub fn called(&mut self, good: f64, bad: f64, took_ms: f64) {
+        self.calls += good + bad;
+        self.good += good;
+        self.timed += good;
+        self.took += took_ms.max(0.0);
+    }
+
+    /// A check ended: something answered there, or not. It weighs two calls, and says nothing of times.
+    pub fn checked(&mut self, good: bool) {
+        self.calls += 2.0;
+        self.good += if good { 2.0 } else { 0.0 };
     }
 
     /// How healthy it is, 0 to 1; `None` where too few calls tell.
@@ -63,17 +73,19 @@
         }
         let part = self.good / self.calls;
         // Before there is a quiet time, or without a good call, there is no slowness to tell.
-        let speed = if self.quiet > 0.0 && self.good > 0.0 {
-            (SLACK * self.quiet * self.good / self.took).min(1.0)
+        let speed = if self.quiet > 0.0 && self.took > 0.0 {
+            (SLACK * self.quiet * self.timed / self.took).min(1.0)
         } else {
             1.0
         };
         Some(part * speed)
     }
 
-    /// The level that this sight speaks for; what is not seen stays as it is held.
+    /// The level that this sight speaks for; what is not seen stays as it is held. Checks alone speak for no more than
+    /// [`CHECKED`]: what answers a check may still serve no call.
     pub fn level(&self) -> Option<u8> {
-        self.seen()
-            .map(|health| (OVERPROVISIONING * health * f64::from(WHOLE)).round().min(f64::from(WHOLE)) as u8)
+        let health = self.seen()?;
+        let level = (OVERPROVISIONING * health * f64::from(WHOLE)).round().min(f64::from(WHOLE)) as u8;
+        Some(if self.timed < 1.0 { level.min(CHECKED) } else { level })
     }
 }
--- a/crates/heathspur-route/src/lib.rs
+++ b/crates/heathspur-route/src/lib.rs
@@ -9,9 +9,11 @@
 #![forbid(unsafe_code)]
 
 pub mod health;
+pub mod pick;
 pub mod register;
 pub mod shares;
 pub mod spare;
+pub mod zone;
 
 /// All traffic stays near.
 pub const WHOLE: u8 = 10;
--- a/crates/heathspur-route/tests/parts.rs
+++ b/crates/heathspur-route/tests/parts.rs
@@ -1,9 +1,11 @@
 //! Sight, register, shares and budget, each by itself.
 
-use heathspur_route::health::Health;
+use heathspur_route::health::{Health, CHECKED};
+use heathspur_route::pick::Picker;
 use heathspur_route::register::{Decision, Pace, Register, Voice};
 use heathspur_route::shares::{shares, Other};
 use heathspur_route::spare::{spare, Budget};
+use heathspur_route::zone::{Failover, Peer, Plan};
 use heathspur_route::WHOLE;
 use proptest::prelude::*;
 
@@ -12,7 +14,7 @@
     for n in 0..seconds * 20 {
         health.pass(50);
         let (good, took) = call(n);
-        health.called(good, took);
+        health.called(f64::from(u8::from(good)), f64::from(u8::from(!good)), if good { took } else { 0.0 });
     }
 }
 
@@ -105,6 +107,49 @@
     assert_eq!((cut.alone(), cut.near(), cut.held()), (false, WHOLE, Decision::FIRST));
 }
 
+#[test]
+fn what_only_answers_checks_is_believed_a_little() {
+    let mut health = Health::default();
+    for _ in 0..10 {
+        health.pass(1_000);
+        health.checked(true);
+    }
+    assert_eq!(health.level(), Some(CHECKED));
+    calls(&mut health, 2, |_| (true, 2.0));
+    assert_eq!(health.level(), Some(WHOLE));
+}
+
+fn peer(zone: &str, region: &str, load: (u32, u32), epoch: u64, near: u8) -> Peer {
+    let voice = Voice { held: Decision { epoch, near }, wants: near };
+    Peer { zone: zone.into(), region: region.into(), live: true, load, voice }
+}
+
+#[test]
+fn an_instance_plans_by_the_view_and_picks_by_its_plan() {
+    let zones: Vec<String> = ["a", "b", "c"].map(String::from).into();
+    let mut failover = Failover::new(zones.clone(), 0, "west".into(), Pace::default());
+    let mut peers = vec![peer("a", "west", (8, 0), 0, WHOLE), peer("a", "west", (8, 0), 0, WHOLE)];
+    peers.extend([peer("b", "west", (10, 4), 0, WHOLE), peer("c", "east", (90, 0), 0, WHOLE)]);
+    let step = failover.step(100, &peers);
+    assert_eq!((step.plan.shares.clone(), step.decided, step.check), (vec![1_000, 0, 0], None, false));
+    // Its own zone decided to move six tenths away.
+    peers.iter_mut().take(2).for_each(|p| p.voice = Voice { held: Decision { epoch: 1, near: 4 }, wants: 4 });
+    let step = failover.step(100, &peers);
+    assert_eq!(step.decided, Some(Decision { epoch: 1, near: 4 }));
+    assert_eq!(step.plan, Plan { shares: vec![400, 600, 0], may: vec![0, 2, 30] });
+    assert!(step.check);
+    let mut picker = Picker::new(zones, 0);
+    assert_eq!((picker.pick(), picker.pick()), (Some(0), Some(0)));
+    picker.set(step.plan);
+    // Two may be under way to b; a third that is due there is turned away, and near is not pushed on for it.
+    let picked: Vec<_> = (0..10).map(|_| picker.pick()).collect();
+    let count = |to| picked.iter().filter(|p| **p == to).count();
+    assert_eq!((count(Some(0)), count(Some(1)), count(None)), (4, 2, 4), "{picked:?}");
+    picker.give_back(1);
+    let picked: Vec<_> = (0..10).map(|_| picker.pick()).collect();
+    assert_eq!(picked.iter().filter(|p| **p == Some(1)).count(), 1);
+}
+
 fn other(zone: &str, same_region: bool, spare: u32, near: u8) -> Other {
     Other { zone: zone.into(), same_region, spare, near }
 }
