Send calls to the replica of the own zone while its quorum holds it safe, proven by processes

A call that nobody has room for is turned away before it is sent.

Process tests, 3 zones of 3 servers in 2 regions: a replica killed moves its zone to the region's other one, together, and back; a flapping one changes it at most once in a dwell; a zone, and a member, cut off from the others stay near with a good replica. No key ran twice. Two of them failed at first: the rig's default memory was full of keys after 18 s and the servers refused, rightly; fleets of the rig have room now.

--- a/crates/heathspur-measure/src/http2/drain.rs
+++ b/crates/heathspur-measure/src/http2/drain.rs
@@ -87,7 +87,7 @@
     let (mut answered, mut refused, mut reset, mut begun, mut past, mut codes) = (0, 0, 0, 0, 0, 0);
     for seed in 1..=drains {
         let bounds = "<streams connection=\"128\" all=\"6000\"/><patience stalled=\"60 s\"/>";
-        let manner = Manner { work: Duration::from_millis(60), result: None };
+        let manner = Manner { work: Duration::from_millis(60), result: None, calls: false };
         let (mut daemon, address) = start(folder, "drain", bounds, manner);
         let (half, sent) = (Arc::new(Barrier::new(CONNECTIONS as usize + 1)), Arc::new(AtomicUsize::new(0)));
         let callers: Vec<_> = (0..CONNECTIONS)
--- a/crates/heathspur-measure/src/http2/repeats.rs
+++ b/crates/heathspur-measure/src/http2/repeats.rs
@@ -77,7 +77,7 @@
 }
 
 pub fn measure(folder: &Path, table: &mut Table) {
-    let manner = Manner { work: Duration::from_millis(1), result: None };
+    let manner = Manner { work: Duration::from_millis(1), result: None, calls: false };
     let (daemon, address) = start(folder, "repeats", "", manner);
     let http1 = daemon.address;
     let callers: Vec<_> = (0..CALLERS).map(|n| thread::spawn(move || caller(address, http1, n))).collect();
--- a/crates/heathspur-measure/src/http2/stalled.rs
+++ b/crates/heathspur-measure/src/http2/stalled.rs
@@ -25,7 +25,7 @@
         ("50 connections that grant all and read nothing", 50, false),
     ] {
         let bounds = "<streams connection=\"1000\" all=\"4000\"/><patience stalled=\"60 s\"/>";
-        let manner = Manner { work: Duration::ZERO, result: Some(ANSWER) };
+        let manner = Manner { work: Duration::ZERO, result: Some(ANSWER), calls: false };
         let (daemon, address) = start(folder, "stalled", bounds, manner);
         let before = daemon.resident_kib();
         let callers: Vec<_> = (0..connections)
--- a/crates/heathspur-members/src/core.rs
+++ b/crates/heathspur-members/src/core.rs
@@ -319,6 +319,11 @@
         self.table.get(id)
     }
 
+    /// This member's own name.
+    pub fn id(&self) -> &str {
+        &self.me.id.0
+    }
+
     /// This member's own incarnation.
     pub fn incarnation(&self) -> u64 {
         self.incarnation
--- a/crates/heathspur-operator/src/lib.rs
+++ b/crates/heathspur-operator/src/lib.rs
@@ -5,11 +5,13 @@
 //! JSON and are not read here.
 #![forbid(unsafe_code)]
 
+mod failover;
 mod http2;
 mod locate;
 mod members;
 pub mod units;
 
+pub use failover::{Failover, Replica};
 pub use http2::{Http2, Memory, Patience, Request, Streams};
 pub use members::{Members, Seed};
 
@@ -44,6 +46,9 @@
     /// The fleet's view kept by the servers, where it is on.
     #[serde(default)]
     pub members: Option<Members>,
+    /// Failover between zones, where it is on.
+    #[serde(default)]
+    pub failover: Option<Failover>,
 }
 
 /// The program's own log.
@@ -301,6 +306,9 @@
         if let Some(members) = &self.members {
             members.check()?;
         }
+        if let Some(failover) = &self.failover {
+            failover.check(self.members.as_ref())?;
+        }
         let Some(record) = &self.record else { return Ok(()) };
         if record.directory.as_os_str().is_empty() {
             return mistake("record.@directory", "a folder is expected".into());
--- a/crates/heathspur-operator/tests/read.rs
+++ b/crates/heathspur-operator/tests/read.rs
@@ -19,7 +19,9 @@
     format!("<?xml version=\"1.0\"?>\n<operator xmlns=\"urn:heathspur:operator:1\">\n{inner}\n</operator>\n")
 }
 
-const VALID: [&str; 13] = [
+const VALID: [&str; 15] = [
+    "<members id=\"n1\" listen=\"127.0.0.1:7947\"/>",
+    "<failover dwell=\"3 s\" check=\"300 ms\"><replica zone=\"a\" address=\"10.0.0.1:1\"/><replica zone=\"b\" address=\"10.0.0.2:1\"/></failover><members id=\"n1\" listen=\"127.0.0.1:7947\" zone=\"a\"><seed address=\"10.0.0.3:1\"/></members>",
     "",
     "<!-- nothing -->",
     "<log/>",
@@ -36,7 +38,9 @@
 ];
 
 /// What, and the line and words that the error must have.
-const INVALID: [(&str, &str); 30] = [
+const INVALID: [(&str, &str); 32] = [
+    ("<members id=\"n1\" listen=\"127.0.0.1:7947\" zone=\"a\"/><failover><replica zone=\"a\" address=\"10.0.0.1:1\"/></failover>", "o.xml:3: failover: 2 to 32 elements `replica`"),
+    ("<members listen=\"127.0.0.1:7947\"/>", "o.xml:3: members: missing field `id`"),
     ("<lgo/>", "o.xml:3: lgo: unknown element"),
     ("<log/><log/>", "o.xml:3: log: duplicate"),
     ("\n<log\n  colour=\"red\"/>", "o.xml:5: log@colour: unknown element or attribute `colour`"),
@@ -82,7 +86,11 @@
 ];
 
 /// Wrong in a way that a schema can't tell, or that is a matter of bounds on values with units.
-const OUT_OF_BOUNDS: [(&str, &str); 13] = [
+const OUT_OF_BOUNDS: [(&str, &str); 17] = [
+    ("<failover><replica zone=\"a\" address=\"10.0.0.1:1\"/><replica zone=\"b\" address=\"10.0.0.2:1\"/></failover>", "o.xml:3: failover: an element `members` is expected"),
+    ("<members id=\"n1\" listen=\"127.0.0.1:7947\" zone=\"a\"/><failover><replica zone=\"a\" address=\"10.0.0.1:1\"/><replica zone=\"a\" address=\"10.0.0.1:1\"/></failover>", "o.xml:3: replica@zone: one replica a zone"),
+    ("<members id=\"n1\" listen=\"127.0.0.1:7947\" zone=\"a\"/>\n<failover dwell=\"10 ms\"><replica zone=\"a\" address=\"10.0.0.1:1\"/><replica zone=\"b\" address=\"10.0.0.2:1\"/></failover>", "o.xml:4: failover@dwell: 1 s to 10 min"),
+    ("<members id=\"n1\" listen=\"127.0.0.1:7947\" region=\"a\"/><failover><replica zone=\"a\" address=\"10.0.0.1:1\"/><replica zone=\"b\" address=\"10.0.0.2:1\"/></failover>", "o.xml:3: failover: a replica of the own zone"),
     ("<record directory=\"/x\" links=\"true\"/>", "o.xml:3: record@links: contents=\"full\" is expected"),
     (
         "<record directory=\"/x\"><files size=\"63 KiB\"/></record>",
--- a/crates/heathspur-rig/src/fleet.rs
+++ b/crates/heathspur-rig/src/fleet.rs
@@ -33,6 +33,8 @@
     pub changes: Vec<Change>,
     /// Lines that told of dropped datagrams.
     pub dropped: usize,
+    /// What it said of failover, in order.
+    pub failover: Vec<(Instant, String)>,
 }
 
 pub struct Fleet {
@@ -48,6 +50,16 @@
 
     /// The same, with more attributes of `members` in every operator's file.
     pub fn with(count: usize, attributes: &str) -> Fleet {
+        Fleet::of(count, attributes, |_| "r1", "")
+    }
+
+    /// The same, with the region of each, and more elements in every operator's file.
+    pub fn of(
+        count: usize,
+        attributes: &str,
+        region: impl Fn(usize) -> &'static str,
+        elements: &str,
+    ) -> Fleet {
         static FLEETS: AtomicU32 = AtomicU32::new(0);
         let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let relay = Relay::start(count);
@@ -60,12 +72,20 @@
                 let text = format!(
                     "<operator xmlns=\"urn:heathspur:operator:1\"><log lines-per-second=\"10000\"/>\
                      <members id=\"m{i}\" listen=\"{listen}\" advertise=\"{advertise}\" zone=\"z{}\" \
-                     region=\"r1\" {attributes}>{}</members></operator>",
+                     region=\"{}\" {attributes}>{}</members>{elements}</operator>",
                     i % 3,
+                    region(i),
                     if i == 0 { "" } else { &seed },
                 );
                 std::fs::write(&file, text).unwrap();
-                Server { rig: None, file, view: BTreeMap::new(), changes: Vec::new(), dropped: 0 }
+                Server {
+                    rig: None,
+                    file,
+                    view: BTreeMap::new(),
+                    changes: Vec::new(),
+                    dropped: 0,
+                    failover: Vec::new(),
+                }
             })
             .collect();
         let mut fleet = Fleet { relay, servers };
@@ -78,7 +98,11 @@
     /// Starts a server, or starts it again.
     pub fn run(&mut self, i: usize) {
         let server = &mut self.servers[i];
-        server.rig = Some(Rig::operated(&server.file));
+        // Room for the keys of some minutes: what is measured or tested here is not what a full table turns away.
+        server.rig = Some(Rig::operated_with(&server.file, |c| {
+            c["settings"]["family-info"]["mem-limit-kb"] = 150_000.0.into();
+            c["settings"]["realms"][0]["quota-per-s"] = 1e6.into();
+        }));
         server.view.clear();
     }
 
@@ -103,6 +127,9 @@
             let Some(rig) = &server.rig else { continue };
             while let Ok(line) = rig.lines.try_recv() {
                 server.dropped += line.contains("datagrams or updates dropped") as usize;
+                if let Some(said) = line.split("failover: ").nth(1) {
+                    server.failover.push((Instant::now(), said.to_string()));
+                }
                 // "members: m1 is alive at incarnation 17, joined"
                 let Some(said) = line.split("members: ").nth(1) else { continue };
                 let words: Vec<&str> = said.split([' ', ',']).collect();
--- a/crates/heathspur-rig/src/lib.rs
+++ b/crates/heathspur-rig/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod http2;
 pub mod proxy;
 pub mod relay;
+pub mod replica;
 pub mod scripted;
 pub mod sink;
 pub mod swift;
--- a/crates/heathspur-rig/src/scripted.rs
+++ b/crates/heathspur-rig/src/scripted.rs
@@ -180,7 +180,7 @@
         // Where membership is on, its first lines may come before.
         let said = loop {
             let line = lines.recv_timeout(NEVER).expect("the server says where it listens");
-            if !line.contains("members: ") {
+            if !line.contains("members: ") && !line.contains("failover: ") {
                 break line;
             }
         };
--- a/crates/heathspur-rig/src/swift.rs
+++ b/crates/heathspur-rig/src/swift.rs
@@ -25,6 +25,8 @@
     pub work: Duration,
     /// Bytes of each result; none for the request's own body.
     pub result: Option<usize>,
+    /// Each run calls the dependency once, with the request's own body, and ends with the reply. Not with `work`.
+    pub calls: bool,
 }
 
 /// The same, in this manner.
@@ -110,6 +112,22 @@
         }
         let command: Value = serde_json::from_str(&line).ok()?;
         let reply = match command["verb"].as_str()? {
+            "APPLY" if manner.calls => {
+                index += 1;
+                // Counted as run; it ends when the call has come back.
+                ended(&command, runs, manner, index)?;
+                json!({"verb": "AWAIT", "index": index, "task": command["task"], "bytes": command["bytes"]})
+            }
+            "RESOLVE" | "STUB" => {
+                index += 1;
+                let bytes = command["bytes"].as_str().unwrap_or("");
+                json!({"verb": "VALUE", "index": index, "task": command["task"], "outcome": "complete", "spent": 0,
+                    "bytes": bytes})
+            }
+            "BREAK" => {
+                index += 1;
+                json!({"verb": "VALUE", "index": index, "task": command["task"], "outcome": "cancelled", "spent": 0})
+            }
             "APPLY" => {
                 index += 1;
                 ended(&command, runs, manner, index)?
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -15,6 +15,7 @@
 mod book;
 mod clock;
 mod crowd;
+mod failover;
 mod front;
 mod hear;
 mod http1;
@@ -119,13 +120,22 @@
         Some(record) => Some(Recording::start(&config.name, record).map_err(Fault::Thread)?),
         None => None,
     };
+    let mut peers = serve::Peers::default();
     let membership = match &operator.members {
-        Some(members) => Some(members::Membership::start(members, 1).map_err(Fault::Members)?),
+        Some(members) => {
+            let home = operator.failover.as_ref().and_then(|f| Some((f, f.home(&members.zone)?)));
+            let decider = home.map(|(failover, home)| {
+                let (decider, ways) = failover::start(failover, home, &members.region);
+                peers.ways = Some(ways);
+                decider
+            });
+            Some(members::Membership::start(members, 1, decider).map_err(Fault::Members)?)
+        }
         None => None,
     };
     let tap = recording.as_ref().map(|recording| recording.tap.clone());
     let executor = Rc::new(LocalExecutor::new());
-    let peers = membership.as_ref().map(members::Membership::handle);
+    peers.members = membership.as_ref().map(members::Membership::handle);
     let serving = serve::serve(executor.clone(), config, listeners, notice, tap, peers);
     let served = async_io::block_on(executor.run(serving));
     // What streams are left hold the tap.
--- a/crates/heathspurd/src/members.rs
+++ b/crates/heathspurd/src/members.rs
@@ -3,6 +3,7 @@
 //! Nothing here decides: `heathspur-members` does. The owner and this thread share a few numbers and a bounded
 //! channel, and neither waits for the other.
 
+use crate::failover::Decider;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -100,7 +101,11 @@
 
 impl Membership {
     /// Binds the socket and starts the thread.
-    pub(crate) fn start(operated: &Operated, version: u32) -> io::Result<Membership> {
+    pub(crate) fn start(
+        operated: &Operated,
+        version: u32,
+        decider: Option<Decider>,
+    ) -> io::Result<Membership> {
         let invalid = |what: &str| io::Error::new(io::ErrorKind::InvalidInput, what.to_string());
         let settings = settings(operated);
         settings.check().map_err(|e| invalid(&e.to_string()))?;
@@ -126,9 +131,12 @@
         let gauge = Arc::new(Gauge::default());
         let (tell, told) = async_channel::bounded(2);
         info!(member = %operated.id, incarnation, address = %advertise, "members: joining");
-        let keeper = Keeper { core, gauge: gauge.clone(), told, tick, started: Instant::now() };
+        let keeper = Keeper { core, gauge: gauge.clone(), told, tick, started: Instant::now(), decider };
         let thread = thread::Builder::new().name("members".into()).spawn(move || {
             let executor = async_executor::LocalExecutor::new();
+            if let Some(decider) = &keeper.decider {
+                executor.spawn(decider.checks()).detach();
+            }
             if let Err(e) = async_io::block_on(executor.run(keeper.run(socket))) {
                 warn!(error = %e, "members: stopped: {e}");
             }
@@ -163,6 +171,7 @@
     told: Receiver<Told>,
     tick: Duration,
     started: Instant,
+    decider: Option<Decider>,
 }
 
 impl Keeper {
@@ -213,6 +222,11 @@
                 next = now + self.tick;
                 self.say_load(now, &mut counted);
                 self.core.handle(self.now(), Event::Tick, &mut out);
+                if let Some(decider) = &mut self.decider {
+                    let view = self.core.view();
+                    let stand = decider.step(&view, self.core.id());
+                    self.core.set_stand(stand, &mut out);
+                }
             }
             for action in out.drain(..) {
                 carry_out(&socket, action).await;
--- a/crates/heathspurd/src/serve.rs
+++ b/crates/heathspurd/src/serve.rs
@@ -5,6 +5,7 @@
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::crowd::Crowd;
+use crate::failover::Ways;
 use crate::front::{Desk, Front};
 use crate::http1;
 use crate::http2;
@@ -62,6 +63,13 @@
     pub http2: Option<(TcpListener, Http2)>,
 }
 
+/// What the fleet's view and failover give the owner, where they are on.
+#[derive(Default)]
+pub(crate) struct Peers {
+    pub members: Option<Handle>,
+    pub ways: Option<Ways>,
+}
+
 /// Starts all tasks and serves until the server has left.
 pub(crate) async fn serve(
     executor: Rc<LocalExecutor<'static>>,
@@ -69,7 +77,7 @@
     listeners: Listeners,
     notice: Signals,
     tap: Option<Rc<Tap>>,
-    members: Option<Handle>,
+    peers: Peers,
 ) -> io::Result<()> {
     let (news, new_news) = async_channel::bounded(NEWS);
     let (shutter, shutting) = async_channel::bounded(1);
@@ -90,7 +98,10 @@
     ));
     let interpreter = interpreter::Link::new();
     let places = config.sockets / CALLS_PART;
-    let store = store::Link::new(executor.clone(), config.store, places, news.clone(), tap.clone());
+    let store = {
+        let routes = peers.ways.map(Ways::routes);
+        store::Link::new(executor.clone(), config.store, places, news.clone(), tap.clone(), routes)
+    };
     let targets =
         Targets { vm: Rc::new(Target::new(config.vm)), announce: Rc::new(Target::new(config.announce)) };
     let report = announce::Report::new();
@@ -131,7 +142,7 @@
         timers: BinaryHeap::new(),
         call_timers: BTreeSet::new(),
         next_call: 1,
-        members,
+        members: peers.members,
         events: Vec::new(),
         now: clock.now(),
         clock,
--- a/crates/heathspurd/src/store.rs
+++ b/crates/heathspurd/src/store.rs
@@ -2,6 +2,7 @@
 //! breaks one connection, costs that call alone. Connections that brought a whole reply and nothing else are
 //! used again for a moment; giving a call up closes its connection.
 
+use crate::failover::{Routes, Way};
 use crate::front::Txn;
 use crate::link::{connect, Inflow};
 use crate::tape::{Stream, Tap};
@@ -72,6 +73,7 @@
 struct Open {
     task: Task<()>,
     written: Rc<Cell<bool>>,
+    way: Option<Rc<Way>>,
 }
 
 /// The owner's end of the link. Calls in hand are bounded by the requests that stand at calls, and those that
@@ -85,6 +87,8 @@
     places: Receiver<()>,
     news: Sender<N>,
     tap: Option<Rc<Tap>>,
+    /// Where calls go by zones; else all to the one address.
+    routes: Option<Rc<Routes>>,
 }
 
 impl<N: From<News> + 'static> Link<N> {
@@ -95,6 +99,7 @@
         most: usize,
         news: Sender<N>,
         tap: Option<Rc<Tap>>,
+        routes: Option<Rc<Routes>>,
     ) -> Rc<Link<N>> {
         let (give_back, places) = async_channel::bounded(most.max(1));
         while give_back.try_send(()).is_ok() {}
@@ -107,6 +112,7 @@
             places,
             news,
             tap,
+            routes,
         })
     }
 
@@ -118,9 +124,20 @@
     /// Makes a call.
     pub fn call(self: &Rc<Self>, call: Call) {
         let (link, number, written) = (self.clone(), call.call, Rc::new(Cell::new(false)));
-        let mark = written.clone();
+        let way = self.routes.as_ref().map(|routes| routes.pick().map(Rc::new));
+        let (mark, goes) = (written.clone(), way.clone());
         let task = self.executor.spawn(async move {
-            let (id, (outcome, body)) = (call.id, link.carry(&call, &mark).await);
+            let (outcome, body) = match &goes {
+                // Who is due for it has no room: turned away here, before anything of it was sent.
+                Some(None) => (Outcome::Full, Bytes::new()),
+                Some(Some(way)) => {
+                    let ended = link.carry(&call, Some(way.address()), &mark).await;
+                    way.ended(ended.0);
+                    ended
+                }
+                None => link.carry(&call, link.address.get(), &mark).await,
+            };
+            let id = call.id;
             // From here on it can't be given up: the owner is told.
             if let Some(open) = link.open.borrow_mut().remove(&number) {
                 open.task.detach();
@@ -128,7 +145,16 @@
             // It fails once the server has ended.
             let _ = link.news.send(News { id, call: number, outcome, body }.into()).await;
         });
-        self.open.borrow_mut().insert(number, Open { task, written });
+        let way = way.flatten();
+        self.open.borrow_mut().insert(number, Open { task, written, way });
+    }
+
+    /// Gives a call up that took too long, which tells of who was called.
+    pub fn give_up_late(&self, call: CallId) -> Outcome {
+        if let Some(way) = self.open.borrow().get(&call).and_then(|open| open.way.as_ref()) {
+            way.ended(Outcome::Timeout);
+        }
+        self.give_up(call)
     }
 
     /// Gives a call up: nothing more is heard of it. The outcome says what that proves.
@@ -145,9 +171,9 @@
         self.idle.borrow_mut().retain(Line::is_young);
     }
 
-    async fn carry(&self, call: &Call, written: &Cell<bool>) -> (Outcome, Bytes) {
+    async fn carry(&self, call: &Call, to: Option<SocketAddr>, written: &Cell<bool>) -> (Outcome, Bytes) {
         let never = (Outcome::ConnectFailed, Bytes::new());
-        let Some(address) = self.address.get() else { return never };
+        let Some(address) = to else { return never };
         // The link holds both ends, so a place comes.
         let _ = self.places.recv().await;
         let _place = Taken(&self.give_back);
@@ -177,7 +203,7 @@
     /// A connection for a call: the one that was used last, else a new one.
     async fn line(&self, call: &Call, address: SocketAddr) -> std::io::Result<Line> {
         let mut idle = self.idle.take();
-        idle.retain(|line| line.address == address && line.is_young());
+        idle.retain(|line| (line.address == address || self.routes.is_some()) && line.is_young());
         let found = match call.fresh {
             true => None,
             false => {
@@ -264,7 +290,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let executor = Rc::new(LocalExecutor::new());
         let (news, _heard) = async_channel::bounded::<News>(4);
-        let link = Link::new(executor.clone(), Some(listener.local_addr().unwrap()), 4, news, None);
+        let link = Link::new(executor.clone(), Some(listener.local_addr().unwrap()), 4, news, None, None);
         let txn = Txn::read(b"9b1f03aa5c7e2d41").unwrap();
         let call = |n| Call {
             id: RequestId(1),
--- a/crates/heathspurd/src/work.rs
+++ b/crates/heathspurd/src/work.rs
@@ -172,7 +172,7 @@
             let Some((_, id)) = self.call_timers.pop_first() else { break };
             let Some(entry) = self.table.get(id) else { continue };
             if let Work::Calling { call, .. } = entry.work {
-                let outcome = self.store.give_up(call);
+                let outcome = self.store.give_up_late(call);
                 self.call_ended(id, outcome);
             }
         }
--- /dev/null
+++ b/crates/heathspurd/tests/failover.rs
@@ -0,0 +1,187 @@
+//! Three zones of three servers in two regions, a replica of the dependency in each zone: replicas killed, slowed,
+//! made to flap, members cut off. Tests wait on logs and counts; figures belong to a measurement.
+
+use heathspur_rig::fleet::Fleet;
+use heathspur_rig::replica::Replica;
+use heathspur_rig::scripted::{request, Client};
+use heathspur_rig::swift::{self, Manner, Runs};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+const SERVERS: usize = 9;
+const ZONES: usize = 3;
+/// The dwell of these tests.
+const DWELL: Duration = Duration::from_secs(4);
+const SETTINGS: &str = "period=\"500 ms\" probe-timeout=\"200 ms\"";
+
+struct Zones {
+    fleet: Fleet,
+    replicas: Vec<Replica>,
+    runs: Vec<Runs>,
+}
+
+impl Zones {
+    /// Zones z0 and z1 are in the west, z2 in the east; server `i` is in zone `i % 3`.
+    fn start() -> Zones {
+        let replicas: Vec<Replica> = (0..ZONES).map(|_| Replica::start()).collect();
+        let listed: String = replicas
+            .iter()
+            .enumerate()
+            .map(|(z, r)| format!("<replica zone=\"z{z}\" address=\"{}\"/>", r.address))
+            .collect();
+        let failover = format!(
+            "<failover dwell=\"{} s\" leave=\"500 ms\" back=\"1 s\" check=\"200 ms\">{listed}</failover>",
+            DWELL.as_secs()
+        );
+        let region = |i| if i % ZONES == 2 { "east" } else { "west" };
+        let mut fleet = Fleet::of(SERVERS, SETTINGS, region, &failover);
+        let manner = Manner { calls: true, ..Manner::default() };
+        let runs =
+            (0..SERVERS).map(|i| swift::slower(fleet.rig(i).vm.try_clone().unwrap(), manner)).collect();
+        fleet.until("all see all", Fleet::one_view);
+        Zones { fleet, replicas, runs }
+    }
+
+    fn members(zone: usize) -> impl Iterator<Item = usize> {
+        (0..SERVERS).filter(move |i| i % ZONES == zone)
+    }
+
+    /// Calls that each replica has agreed to, in a span from now on.
+    fn calls_in(&mut self, span: Duration) -> Vec<u64> {
+        let before: Vec<u64> = self.replicas.iter().map(Replica::calls).collect();
+        self.fleet.wait(span);
+        self.replicas.iter().zip(before).map(|(r, before)| r.calls() - before).collect()
+    }
+
+    /// The levels that a server said its zone holds, in order.
+    fn levels(fleet: &Fleet, i: usize) -> Vec<u8> {
+        let said = fleet.servers[i].failover.iter().filter(|(_, said)| said.contains("the zone holds"));
+        // "the zone holds epoch 1: 0 tenths near"
+        said.filter_map(|(_, said)| said.split(": ").nth(1)?.split(' ').next()?.parse().ok()).collect()
+    }
+
+    fn zone_holds(fleet: &Fleet, zone: usize, near: u8) -> bool {
+        Zones::members(zone).all(|i| Zones::levels(fleet, i).last() == Some(&near))
+    }
+}
+
+/// Callers of some servers, one after another request each, all with keys of their own.
+struct Callers {
+    over: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+    /// Status of each answer.
+    answers: Arc<Mutex<Vec<u16>>>,
+}
+
+impl Callers {
+    fn start(zones: &Zones, servers: impl Iterator<Item = usize>, pause: Duration) -> Callers {
+        let (over, answers) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
+        let threads = servers
+            .map(|i| {
+                let address = zones.fleet.rig(i).address;
+                let (over, answers) = (over.clone(), answers.clone());
+                thread::spawn(move || {
+                    let mut client = Client::to(address);
+                    for n in 0.. {
+                        if over.load(Ordering::Relaxed) {
+                            return;
+                        }
+                        let number = ((i as u64) << 32) + n;
+                        let key = format!("{number:032x}");
+                        client.send(&request(number, Some(&key), key.as_bytes()));
+                        // None is left without its answer: reading waits for it.
+                        let (status, fields, _) = client.answer();
+                        answers.lock().unwrap().push(status);
+                        if fields.get("connection").is_some_and(|c| c == "close") {
+                            client = Client::to(address);
+                        }
+                        thread::sleep(pause);
+                    }
+                })
+            })
+            .collect();
+        Callers { over, threads, answers }
+    }
+
+    /// Answers in all, and those that served.
+    fn stop(self, zones: &Zones) -> (usize, usize) {
+        self.over.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            thread.join().unwrap();
+        }
+        for runs in &zones.runs {
+            let runs = runs.lock().unwrap();
+            assert!(runs.values().all(|times| *times == 1), "a key ran twice");
+        }
+        let answers = self.answers.lock().unwrap();
+        (answers.len(), answers.iter().filter(|status| **status == 200).count())
+    }
+}
+
+const PAUSE: Duration = Duration::from_millis(20);
+
+#[test]
+fn a_zone_whose_replica_dies_moves_to_its_region_together_and_comes_back() {
+    let mut zones = Zones::start();
+    let callers = Callers::start(&zones, Zones::members(0), PAUSE);
+    let calm = zones.calls_in(Duration::from_secs(2));
+    assert!(calm[0] > 30 && calm[1] == 0 && calm[2] == 0, "calls in calm, by replica: {calm:?}");
+    zones.replicas[0].kill();
+    zones.fleet.until("all of z0 hold that nothing stays near", |f| Zones::zone_holds(f, 0, 0));
+    let away = zones.calls_in(Duration::from_secs(2));
+    assert!(away[1] > 30 && away[2] == 0, "calls after the move, by replica: {away:?}");
+    zones.replicas[0].revive();
+    zones.fleet.until("all of z0 hold that all is near again", |f| Zones::zone_holds(f, 0, 10));
+    let back = zones.calls_in(Duration::from_secs(2));
+    assert!(back[0] > 30 && back[1] == 0, "calls after the way back, by replica: {back:?}");
+    // Nobody else moved.
+    for i in Zones::members(1).chain(Zones::members(2)) {
+        assert_eq!(Zones::levels(&zones.fleet, i), [] as [u8; 0], "m{i}");
+    }
+    let (answered, served) = callers.stop(&zones);
+    assert!(served * 10 > answered * 7, "{served} of {answered} served");
+}
+
+#[test]
+fn a_replica_that_flaps_changes_its_zone_once_in_a_dwell() {
+    let mut zones = Zones::start();
+    let callers = Callers::start(&zones, Zones::members(0), PAUSE);
+    let start = Instant::now();
+    zones.fleet.wait(Duration::from_secs(1));
+    while start.elapsed() < Duration::from_secs(14) {
+        zones.replicas[0].kill();
+        zones.fleet.wait(Duration::from_millis(1_500));
+        zones.replicas[0].revive();
+        zones.fleet.wait(Duration::from_millis(500));
+    }
+    zones.fleet.read();
+    let most = 1 + (start.elapsed().as_millis() / DWELL.as_millis()) as usize;
+    for i in Zones::members(0) {
+        let levels = Zones::levels(&zones.fleet, i);
+        assert!((1..=most).contains(&levels.len()), "m{i}, at most {most}: {levels:?}");
+    }
+    callers.stop(&zones);
+}
+
+#[test]
+fn a_zone_cut_off_from_the_others_and_a_member_cut_off_alone_stay_near_with_a_good_replica() {
+    let mut zones = Zones::start();
+    let callers = Callers::start(&zones, 0..SERVERS, PAUSE);
+    // Zone z0 sees nobody else; its replica is fine.
+    zones.fleet.relay.set(|r| r.sides = (0..SERVERS).map(|i| (i % ZONES == 0) as u8).collect());
+    zones.fleet.until("z0 holds the others dead", |f| Zones::members(0).all(|i| f.holds(i, 1, "dead")));
+    let cut = zones.calls_in(Duration::from_secs(2));
+    assert!(cut.iter().all(|calls| *calls > 60), "calls by replica: {cut:?}");
+    zones.fleet.relay.set(|r| r.sides = (0..SERVERS).map(|i| (i == 4) as u8).collect());
+    let alone = |f: &Fleet| f.servers[4].failover.iter().any(|(_, said)| said.contains("no quorum"));
+    zones.fleet.until("m4 says that it hears no quorum", alone);
+    let cut = zones.calls_in(Duration::from_secs(2));
+    assert!(cut.iter().all(|calls| *calls > 60), "calls by replica: {cut:?}");
+    for i in 0..SERVERS {
+        assert_eq!(Zones::levels(&zones.fleet, i), [] as [u8; 0], "m{i}");
+    }
+    let (answered, served) = callers.stop(&zones);
+    assert!(served * 100 >= answered * 99, "{served} of {answered} served");
+}
