--- a/crates/heathspurd/src/failover.rs
+++ b/crates/heathspurd/src/failover.rs
@@ -17,6 +17,8 @@
 use std::time::{Duration, Instant};
 use tracing::info;
 
+/// A step is made so often.
+const STEP: Duration = Duration::from_millis(100);
 /// A check's connection comes up within this, or the check has failed.
 const CHECKED: Duration = Duration::from_millis(500);
 
@@ -80,6 +82,11 @@
 }
 
 impl Decider {
+    /// Whether the next step is due; the view is not looked through at each turn of the thread.
+    pub(crate) fn is_due(&self, now: Instant) -> bool {
+        now.duration_since(self.stepped) >= STEP
+    }
+
     /// Steps on with the view as it is; what is to be said of it to others.
     pub(crate) fn step(&mut self, view: &View, me: &str) -> Stand {
         let now = Instant::now();
--- a/crates/heathspurd/src/members.rs
+++ b/crates/heathspurd/src/members.rs
@@ -222,7 +222,7 @@
                 next = now + self.tick;
                 self.say_load(now, &mut counted);
                 self.core.handle(self.now(), Event::Tick, &mut out);
-                if let Some(decider) = &mut self.decider {
+                if let Some(decider) = self.decider.as_mut().filter(|decider| decider.is_due(now)) {
                     let view = self.core.view();
                     let stand = decider.step(&view, self.core.id());
                     self.core.set_stand(stand, &mut out);
--- a/crates/heathspurd/tests/failover.rs
+++ b/crates/heathspurd/tests/failover.rs
@@ -185,3 +185,33 @@
     let (answered, served) = callers.stop(&zones);
     assert!(served * 100 >= answered * 99, "{served} of {answered} served");
 }
+
+#[test]
+fn a_slow_replica_moves_a_part_of_its_zone_and_a_lost_region_crosses_to_the_other() {
+    let mut zones = Zones::start();
+    zones.replicas.iter().for_each(|r| r.slow(Duration::from_millis(10)));
+    let callers = Callers::start(&zones, 0..SERVERS, PAUSE);
+    zones.fleet.wait(Duration::from_secs(3));
+    // Five times as slow: some four tenths of its speed count.
+    zones.replicas[0].slow(Duration::from_millis(50));
+    let partly = |f: &Fleet| {
+        Zones::members(0).all(|i| Zones::levels(f, i).last().is_some_and(|near| (2..=8).contains(near)))
+    };
+    zones.fleet.until("all of z0 hold that a part stays near", partly);
+    let split = zones.calls_in(Duration::from_secs(2));
+    assert!(split[0] > 10 && split[1] > split[2], "calls by replica: {split:?}");
+    // The west is lost: what z0 and z1 would do near goes to the east.
+    zones.replicas[0].kill();
+    zones.replicas[1].kill();
+    let gone = |f: &Fleet| Zones::zone_holds(f, 0, 0) && Zones::zone_holds(f, 1, 0);
+    zones.fleet.until("z0 and z1 hold that nothing stays near", gone);
+    let crossed = zones.calls_in(Duration::from_secs(2));
+    assert!(
+        crossed[0] + crossed[1] == 0 && crossed[2] > split[2] * 3 / 2,
+        "calls by replica: {crossed:?}, before {split:?}"
+    );
+    for i in Zones::members(2) {
+        assert_eq!(Zones::levels(&zones.fleet, i), [] as [u8; 0], "m{i}");
+    }
+    callers.stop(&zones);
+}
