Answer one accusation of a member a datagram, however many it holds

Read again: each accusation of the receiver in a datagram was answered, stale ones too since they are told the new incarnation, so one datagram of a forged source bought some twenty answers. The test fails without the change.

--- a/crates/heathspur-members/src/core.rs
+++ b/crates/heathspur-members/src/core.rs
@@ -524,7 +524,12 @@
         }
         // What a newcomer is told of the fleet, the fleet knows: it does not tell it on.
         let known_there = matches!(envelope.body, Body::PushPull { .. }) && self.now < self.fresh_until;
+        let mut of_me = false;
         for update in &envelope.updates {
+            // One word about this member a datagram: each may be answered, and a datagram must not buy many.
+            if update.member.id == self.me.id && std::mem::replace(&mut of_me, true) {
+                continue;
+            }
             let news = !known_there || update.member.id == envelope.from;
             self.apply(update, &envelope.from, from, news, out);
         }
--- a/crates/heathspur-members/tests/input.rs
+++ b/crates/heathspur-members/tests/input.rs
@@ -180,6 +180,20 @@
     assert_eq!((*to, told.state, told.incarnation), (member(2).address, State::Alive, 13));
 }
 
+#[test]
+fn many_accusations_in_one_datagram_are_answered_as_one() {
+    let accused = |incarnations: std::ops::Range<u64>| {
+        let mut core = core();
+        core.know((1..9).map(|i| (member(i), 5)));
+        let accuse = |incarnation| Update { state: State::Suspect, incarnation, by: None, member: member(0) };
+        let updates = incarnations.map(accuse).collect();
+        let envelope = Envelope { from: Id("m1".into()), body: Body::Gossip, updates };
+        deliver(&mut core, member(1).address, &envelope).len()
+    };
+    // Stale ones, and such as each have to be refuted.
+    assert_eq!((accused(3..15), accused(12..24)), (accused(3..4), accused(12..13)));
+}
+
 #[test]
 fn what_a_member_holds_and_wants_is_spread_beyond_those_it_speaks_to() {
     let (mut core, mut other) = (core(), Members::new(Settings::default(), member(1), 10, vec![], 2));
