Decide in the core what a call's end tells of a replica; carry the program's real version

Read again: the daemon's shell decided which outcomes speak for or against a replica, and counted a call that was broken off as a good one with its time. The core decides it now; what was broken off tells nothing. And the version that members carry was a 1 written into the start: it is the program's own now, shown in heathspurctl members.

--- a/crates/heathspur-members/src/member.rs
+++ b/crates/heathspur-members/src/member.rs
@@ -39,7 +39,7 @@
     pub zone: String,
     /// Its region.
     pub region: String,
-    /// The version of its program.
+    /// The version of its program as one number: 1.2.3 is 1002003.
     pub version: u32,
     /// Its load, as it last said.
     pub load: Load,
--- a/crates/heathspur-route/src/health.rs
+++ b/crates/heathspur-route/src/health.rs
@@ -3,6 +3,7 @@
 //! Counts decay, so that the sight is of the last seconds; a replica that nobody called of late is not seen at all.
 
 use crate::WHOLE;
+use heathspur::Outcome;
 
 /// Counts lose 63% of their weight in this time, in milliseconds.
 const DECAY_MS: f64 = 2_000.0;
@@ -19,6 +20,18 @@
 /// Envoy's overprovisioning factor: a replica that is healthy to 10 in 14 still takes all of its zone.
 const OVERPROVISIONING: f64 = 1.4;
 
+/// What a call's end tells of the replica that it went to: well, or not; `None` where it tells nothing, since the
+/// caller broke it off.
+pub fn tells(outcome: Outcome) -> Option<bool> {
+    match outcome {
+        Outcome::Ok | Outcome::Moot => Some(true),
+        Outcome::Cancelled => None,
+        Outcome::Error | Outcome::Full | Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => {
+            Some(false)
+        }
+    }
+}
+
 /// The sight of one replica.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
--- a/crates/heathspur-route/tests/parts.rs
+++ b/crates/heathspur-route/tests/parts.rs
@@ -1,6 +1,7 @@
 //! Sight, register, shares and budget, each by itself.
 
-use heathspur_route::health::{Health, CHECKED};
+use heathspur::Outcome;
+use heathspur_route::health::{tells, Health, CHECKED};
 use heathspur_route::pick::Picker;
 use heathspur_route::register::{Decision, Pace, Register, Voice};
 use heathspur_route::shares::{shares, Other};
@@ -107,6 +108,15 @@
     assert_eq!((cut.alone(), cut.near(), cut.held()), (false, WHOLE, Decision::FIRST));
 }
 
+#[test]
+fn a_call_that_was_broken_off_tells_nothing_of_a_replica() {
+    assert_eq!(tells(Outcome::Cancelled), None);
+    assert_eq!(
+        (tells(Outcome::Ok), tells(Outcome::Full), tells(Outcome::Reset)),
+        (Some(true), Some(false), Some(false))
+    );
+}
+
 #[test]
 fn what_only_answers_checks_is_believed_a_little() {
     let mut health = Health::default();
--- a/crates/heathspurctl/tests/members.rs
+++ b/crates/heathspurctl/tests/members.rs
@@ -47,6 +47,11 @@
     until(asked, "m1", "one request in flight", |row| row["in_flight"] == 1 && row["cap"].as_u64() > Some(0));
     let row = held(asked, "m1");
     assert_eq!((&row["state"], &row["zone"], &row["region"]), (&"alive".into(), &"z1".into(), &"r1".into()));
+    // 0.1.0 and on; the same for all that run one build.
+    assert!(
+        row["version"].as_u64() >= Some(1_000) && row["version"] == held(asked, "m0")["version"],
+        "{row}"
+    );
     fleet.signal(1, "TERM");
     until(asked, "m1", "left", |row| row["state"] == "left");
     vm.value(&task, "complete", b"done");
--- a/crates/heathspurd/src/failover.rs
+++ b/crates/heathspurd/src/failover.rs
@@ -6,6 +6,7 @@
 use heathspur::Outcome;
 use heathspur_members::{Stand, State, View};
 use heathspur_operator::Failover as Operated;
+use heathspur_route::health::tells;
 use heathspur_route::pick::Picker;
 use heathspur_route::register::{Decision, Pace, Voice};
 use heathspur_route::zone::{Failover, Peer, Plan};
@@ -205,14 +206,15 @@
             return;
         }
         let shared = &self.routes.shared;
-        match outcome {
-            Outcome::Ok | Outcome::Moot | Outcome::Cancelled => {
+        match tells(outcome) {
+            Some(true) => {
                 shared.good.fetch_add(1, Ordering::Relaxed);
                 shared.micros.fetch_add(self.began.elapsed().as_micros() as u64, Ordering::Relaxed);
             }
-            Outcome::Error | Outcome::Full | Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => {
+            Some(false) => {
                 shared.bad.fetch_add(1, Ordering::Relaxed);
             }
+            None => {}
         }
     }
 }
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -129,7 +129,7 @@
                 peers.ways = Some(ways);
                 decider
             });
-            Some(members::Membership::start(members, 1, decider).map_err(Fault::Members)?)
+            Some(members::Membership::start(members, decider).map_err(Fault::Members)?)
         }
         None => None,
     };
--- a/crates/heathspurd/src/members.rs
+++ b/crates/heathspurd/src/members.rs
@@ -93,6 +93,12 @@
     }
 }
 
+/// The program's version as one number, so that fleets show who runs what: 1.2.3 is 1002003.
+fn program_version() -> u32 {
+    let parts = env!("CARGO_PKG_VERSION").split('.').map(|part| part.parse().unwrap_or(0));
+    parts.take(3).fold(0, |number: u32, part: u32| number * 1_000 + part.min(999))
+}
+
 /// An incarnation that never goes back across restarts: the wall clock's milliseconds at the start. A clock
 /// set back by more than the time down is the one case where it does; the recovery issue keeps it on disk.
 fn first_incarnation() -> u64 {
@@ -101,11 +107,7 @@
 
 impl Membership {
     /// Binds the socket and starts the thread.
-    pub(crate) fn start(
-        operated: &Operated,
-        version: u32,
-        decider: Option<Decider>,
-    ) -> io::Result<Membership> {
+    pub(crate) fn start(operated: &Operated, decider: Option<Decider>) -> io::Result<Membership> {
         let invalid = |what: &str| io::Error::new(io::ErrorKind::InvalidInput, what.to_string());
         let settings = settings(operated);
         settings.check().map_err(|e| invalid(&e.to_string()))?;
@@ -118,7 +120,7 @@
             address: advertise,
             zone: operated.zone.clone(),
             region: operated.region.clone(),
-            version,
+            version: program_version(),
             load: Load::default(),
             lag_ms: 0,
             epoch: 0,
