Grow the running cap only while half a core stands idle

Cause: done() grew the cap for every run that ended within its aim while the mean stretch of ended runs was quiet. Runs stopped as late never entered that mean, so on busy cores only the quick ones were seen. Assumption that fell: that stretch shows a crowd. A defence against any crowd on the cores, whatever its cause. Hurts where the gauge counts as busy what waits for a disk.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -22,6 +22,9 @@
 /// The running cap is multiplied by the one when run times over their quiet level pass the other.
 const CAP_CUT: f64 = 0.85;
 const STRETCH: f64 = 1.15;
+/// Part of a core that must stand idle for the cap to grow: on busy cores one more run only slows the others,
+/// and reading with them. Hurts where the gauge counts as busy what waits for a disk.
+const CAP_ROOM: f64 = 0.5;
 /// Part of the crowd that a server survives which may be in flight.
 const CROWD_PART: f64 = 0.8;
 /// Parts of the memory up to which runs are started, and requests held and keys entered.
@@ -193,6 +196,8 @@
     at_calls: usize,
     calling: usize,
     cap: f64,
+    /// Part of the cores that were busy of late, by the gauge.
+    busy: f64,
     stretch: Mean,
     since_cut: f64,
     call_quiet: Mean,
@@ -271,6 +276,7 @@
                 Event::Drain(left) => self.leave(*left),
                 Event::Timer { gauges, .. } => {
                     (self.open, swept) = (gauges.connections.unwrap_or(0.0), true);
+                    self.busy = gauges.cpu.unwrap_or(0.0);
                     self.on_disk =
                         self.on_core - gauges.runnable.map_or(self.on_core, |r| self.on_core.min(r as usize));
                 }
@@ -664,7 +670,8 @@
         self.stretch.add(own / control.quiet.value.max(1e-6), FAST);
         self.since_cut += 1.0;
         let waiting = self.holds.iter().any(|h| !h.is_empty());
-        if self.now <= req.aim && waiting && self.stretch.value <= STRETCH {
+        let room = (1.0 - self.busy) * cores >= CAP_ROOM;
+        if self.now <= req.aim && waiting && room && self.stretch.value <= STRETCH {
             self.cap = (self.cap + 1.0 / self.cap).min(self.crowd() * CROWD_PART);
         }
     }
