Bound a class's mean run before the hint of its size, not after

Cause: run_time() bounded the hinted run at half the aim, so the largest requests were never judged unfit for a slow machine. Ruled out: thrashing of two cores (slowdown by runs at start as plain sharing gives), pacing of calls (0.03 to 0.18 s at calls), order of classes. The part of requests turned away counts as served only what was answered by its run.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -655,10 +655,11 @@
             return;
         }
         self.progress = self.now;
-        self.turned.add(0.0, FAST);
         if !req.owed {
+            // A run that went on past its answer tells its length all the same: the longest are among these.
             return;
         }
+        self.turned.add(0.0, FAST);
         let cores = self.set.cores.max(1) as f64;
         let control = &mut self.controls[req.class];
         let own = (latency.secs() - req.away).max(0.0) / req.size;
@@ -759,7 +760,7 @@
     /// Seconds that a request would take from start to end.
     fn run_time(&self, req: &Req) -> f64 {
         let aim = self.set.classes[req.class].aim.secs();
-        (self.controls[req.class].run.or(RUN_GUESS * aim) * req.size).min(RUN_MOST * aim)
+        self.controls[req.class].run.or(RUN_GUESS * aim).min(RUN_MOST * aim) * req.size
     }
 
     fn sweep(&mut self) {
