Judge what still fits by a margin learned from runs that end in vain

Cause: hopeless() let work start with the mean of its run left and the line be as long as the aim; run times were learned only from runs that ended in time (done()), so on a crowded machine they stayed those of the quick ones. Assumptions that fell: that run times scatter little against the aim, and that runs that end tell of all. Change: a run stopped counts into the mean of its class with at least its time so far, one that outlived its answer with all of it. The part of what is left that line and run may take falls by a tenth for each run in vain and rises so that one in ten balances it; a run alone on free cores is always tried with its mean.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -40,6 +40,14 @@
 const RUN_MOST: f64 = 0.5;
 /// Part of its aim that a request queues before the work ahead of it may have it turned away.
 const QUEUE_PART: f64 = 0.1;
+/// Part of the runs that may end in vain: the time that the line may be reckoned to take goes by it in steps,
+/// down to the least part of what is left, and a run's own down to its least.
+const VAIN_PART: f64 = 0.1;
+const FIT_STEP: f64 = 0.1;
+const FIT_LEAST: f64 = 0.25;
+const FIT_RUN: f64 = 0.5;
+/// Weight of a run in the mean of its class.
+const RUN_WEIGHT: f64 = 0.05;
 /// Part of the longest advice to stay away that a refusal for want of room carries.
 const ADVICE_PART: f64 = 0.5;
 /// The same a server for what is beyond a share: with few others to go to, what is within would stay away.
@@ -115,6 +123,7 @@
     /// Seconds spent at calls, and when the last call was reached.
     away: f64,
     reached: Time,
+    began: Time,
     crowd: f64,
     tries: u32,
     /// The first try of the same keyed request.
@@ -200,6 +209,9 @@
     busy: f64,
     stretch: Mean,
     since_cut: f64,
+    /// Part of what is left of its aim that a held request's queue and run may be reckoned to take: what they
+    /// take is a mean, and half of what starts with just that left ends in vain.
+    fit: f64,
     call_quiet: Mean,
     call_time: Mean,
     call_cap: f64,
@@ -245,6 +257,7 @@
             controls: (0..n).map(|_| Control { budget: MIN_BUDGET, ..Control::default() }).collect(),
             tenants: set.tenants.iter().map(share).collect(),
             cap: cores,
+            fit: 1.0,
             call_cap: match set.dependency {
                 Dependency::Shared { part, .. } => PART_LEAST * part,
                 _ => 1.0,
@@ -471,7 +484,7 @@
     fn start(&mut self, id: RequestId, extra: f64) {
         let crowd = self.on_core as f64 + 1.0;
         let Some(req) = self.reqs.get_mut(&id) else { return };
-        (req.phase, req.ran, req.crowd) = (Phase::Running, true, crowd);
+        (req.phase, req.ran, req.crowd, req.began) = (Phase::Running, true, crowd, self.now);
         let control = &mut self.controls[req.class];
         if req.line % 2 == 0 {
             control.wait_sum += (self.now - req.arrived).secs();
@@ -657,6 +670,7 @@
         self.progress = self.now;
         if !req.owed {
             // A run that went on past its answer tells its length all the same: the longest are among these.
+            self.controls[req.class].run.add(latency.secs() / req.size, RUN_WEIGHT);
             return;
         }
         self.turned.add(0.0, FAST);
@@ -667,8 +681,9 @@
         if req.crowd.max(self.on_core as f64 + 1.0) <= cores || control.quiet.count == 0.0 {
             control.quiet.add(own, SLOW);
         }
-        control.run.add(latency.secs() / req.size, 0.05);
+        control.run.add(latency.secs() / req.size, RUN_WEIGHT);
         self.stretch.add(own / control.quiet.value.max(1e-6), FAST);
+        self.learn_fit(self.now <= req.aim);
         self.since_cut += 1.0;
         let waiting = self.holds.iter().any(|h| !h.is_empty());
         let room = (1.0 - self.busy) * cores >= CAP_ROOM;
@@ -677,19 +692,34 @@
         }
     }
 
+    /// A run has ended, in time or in vain (late, or nobody waits): whatever the cause, a crowd, a slow
+    /// machine or short patience, less is started then. Hurts where late answers earn something.
+    fn learn_fit(&mut self, in_time: bool) {
+        let part = if in_time { VAIN_PART / (1.0 - VAIN_PART) } else { -1.0 };
+        self.fit = (self.fit * (1.0 + FIT_STEP * part)).clamp(FIT_LEAST, 1.0);
+    }
+
     /// Nobody waits any longer: what is held is gone, what runs is stopped. What stands at a call ends by
     /// itself. Keyed work goes on, since a repeat may still want its result.
     fn gone(&mut self, id: RequestId) {
         let Some(req) = self.reqs.get_mut(&id) else { return };
-        req.owed = false;
-        match req.phase {
+        let (phase, owed) = (req.phase, std::mem::replace(&mut req.owed, false));
+        let stops = phase == Phase::Running && self.set.halt != Halt::None && req.root.is_none();
+        let took = (self.now - req.began).secs() / req.size;
+        let run = &mut self.controls[req.class].run;
+        if stops {
+            // A run cut short would have taken longer: without it, only quick runs tell what a run takes.
+            run.add(took.max(run.value), RUN_WEIGHT);
+        }
+        if owed && !self.stalled && !matches!(phase, Phase::Held | Phase::Attached) {
+            self.learn_fit(false);
+        }
+        match phase {
             Phase::Held | Phase::Attached => {
                 self.remove(id);
                 self.leave_group(id);
             }
-            Phase::Running if self.set.halt != Halt::None && req.root.is_none() => {
-                self.out.push(Action::Stop(id))
-            }
+            Phase::Running if stops => self.out.push(Action::Stop(id)),
             _ => {}
         }
     }
@@ -788,6 +818,8 @@
     fn hopeless(&self) -> Vec<RequestId> {
         let mut found = Vec::new();
         let mut ahead = 0.0;
+        let taken = self.on_core >= self.set.cores as usize;
+        let others = self.holds.iter().map(VecDeque::len).sum::<usize>() > 1;
         for &line in &self.order {
             for id in &self.holds[line] {
                 let Some(r) = self.reqs.get(id).filter(|r| r.owed && r.phase == Phase::Held) else {
@@ -797,7 +829,10 @@
                 let left = (r.aim.min(r.due) - self.now).secs();
                 let aim = self.set.classes[r.class].aim.secs();
                 let queued = (self.now - r.arrived).secs() > QUEUE_PART * aim;
-                if run > left || queued && ahead / self.cap + run > left {
+                // With other work for the slot, a run must be likely to end in time.
+                let wanted = ahead > 0.0 || taken && others;
+                let need = if wanted { run / self.fit.max(FIT_RUN) } else { run };
+                if need > left || queued && ahead / self.cap + run > self.fit * left {
                     found.push(*id);
                 } else {
                     ahead += run;
