Keep the table of connections full for an idle time once requests wait unread

Cause: connections() closed idle connections early up to the moment of a flood, for the sake of a table that takes less of the cores; at size hardly one serves a second request, and each attempt then costs a connection and a reading. Assumption that fell: that a new connection costs little beside a request (here 11 to 20 parts in 100 of one). Change: when requests of late waited unread for a tenth of the tightest aim in the mean, idle ones stay the whole time that the settings give, for as long; the table opens by a tenth a period while under 0.7 of the cores are busy.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -84,6 +84,9 @@
 /// Requests that must be read in that time to judge by, and the part turned away that calls for a full table.
 const IDLE_SAMPLE: f64 = 8.0;
 const IDLE_DOOR: f64 = 0.7;
+/// Steps a period in which a full table opens again while under that part of the cores is busy.
+const IDLE_EASE: f64 = 0.9;
+const IDLE_BUSY: f64 = 0.7;
 /// Part of the tightest aim that the hold may take to clear before the level rises, and its steps a period.
 const CLEAR_PART: f64 = 0.25;
 const LEVEL_UP: f64 = 0.10;
@@ -232,6 +235,9 @@
     turned: Mean,
     open: f64,
     idle: f64,
+    /// Part of the tightest aim that requests of late waited to be read, and until when the table stays full.
+    unread: Mean,
+    shut: Time,
     period_at: Time,
     used_at: Time,
     out: Vec<Action>,
@@ -355,6 +361,7 @@
             ..Req::default()
         };
         self.reads += 1.0;
+        self.unread.add(r.waited.secs() / self.tightest(), FAST);
         self.memory += r.held_kb;
         self.kb.add(r.held_kb, SLOW);
         let line = req.line;
@@ -944,10 +951,9 @@
     /// ranks to themselves and reading them costs nothing here.
     fn signal(&mut self) {
         let leaving = self.stalled || self.drain.is_some();
-        let aim = self.set.classes.iter().map(|c| c.aim.secs()).fold(f64::MAX, f64::min);
         let held = self.reqs.values().filter(|r| r.phase == Phase::Held);
         let clear = held.map(|r| self.run_time(r)).sum::<f64>() / self.cap;
-        let over = clear / (CLEAR_PART * aim) - 1.0;
+        let over = clear / (CLEAR_PART * self.tightest()) - 1.0;
         let top = 1.0 - 1.0 / self.set.classes.len().max(1) as f64;
         let step = if over > 0.0 { LEVEL_UP * over.min(1.0) } else { LEVEL_DOWN * over };
         self.level = (self.level + step).clamp(0.0, top);
@@ -960,6 +966,11 @@
         }
     }
 
+    /// Seconds of the tightest aim.
+    fn tightest(&self) -> f64 {
+        self.set.classes.iter().map(|c| c.aim.secs()).fold(f64::MAX, f64::min)
+    }
+
     fn say(&mut self, value: f64) {
         if self.said != value {
             self.said = value;
@@ -969,7 +980,8 @@
 
     /// Closes idle connections early where few serve a second request: a full table takes part of the cores
     /// and keeps callers out. In a flood, with most work turned away, it is a door that costs nothing, and
-    /// stays. Hurts where the same callers come again just after the time.
+    /// stays: so too for one idle time after requests waited unread, since then new connections and reading take
+    /// the cores. It opens again while cores stand idle. Hurts where the same callers come again just after.
     fn connections(&mut self, passed: f64) {
         self.read_rate.add(self.reads / passed, FAST);
         self.reads = 0.0;
@@ -978,8 +990,12 @@
         let idle = self.open - self.reqs.len() as f64;
         // With a connection for every other caller there is room for all of them.
         let room = 2.0 * self.open >= self.set.callers as f64;
+        let pressed = self.unread.value > QUEUE_PART;
+        self.shut = if pressed { self.now + self.set.idle } else { self.shut };
         let factor = match idle / read.max(1.0) {
-            _ if room || self.turned.value > IDLE_DOOR => 2.0,
+            _ if room || pressed => f64::MAX,
+            _ if self.now < self.shut => [1.0, IDLE_EASE][usize::from(self.busy < IDLE_BUSY)],
+            _ if self.turned.value > IDLE_DOOR => 2.0,
             many if many > IDLE_MANY && read >= IDLE_SAMPLE => 0.5,
             few if few < IDLE_FEW && read >= IDLE_FEW * IDLE_SAMPLE => 2.0,
             _ => 1.0,
