Believe hints as far as run times followed them, and leave free cores their whole time

Assumption that fell: that a hint is either good or absent. Change: each class measures how far run times follow its hints (slope of one on the other, from runs that ended and those cut short), and a request's reckoned run differs from the mean by that part only. Also hopeless() judged before dispatch and so by the margin where cores were free; it now goes by it only with all cores taken and others held.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -48,6 +48,9 @@
 const FIT_RUN: f64 = 0.5;
 /// Weight of a run in the mean of its class.
 const RUN_WEIGHT: f64 = 0.05;
+/// Runs from which it is judged how far hints tell, and the mean square of what they differ by.
+const HINT_SAMPLES: f64 = 8.0;
+const HINT_SPREAD: f64 = 0.01;
 /// Part of the longest advice to stay away that a refusal for want of room carries.
 const ADVICE_PART: f64 = 0.5;
 /// The same a server for what is beyond a share: with few others to go to, what is within would stay away.
@@ -158,6 +161,27 @@
     run: Mean,
     quiet: Mean,
     cost: Mean,
+    /// How far run times follow hints: the product of what both differ from their means, and the hints' square.
+    follows: Mean,
+    squares: Mean,
+}
+
+impl Control {
+    /// Learns from a run of that size by its hint that took so many seconds.
+    fn learn_run(&mut self, took: f64, size: f64) {
+        if self.run.count > 0.0 {
+            self.follows.add((took / self.run.value.max(1e-6) - 1.0) * (size - 1.0), RUN_WEIGHT);
+            self.squares.add((size - 1.0) * (size - 1.0), RUN_WEIGHT);
+        }
+        self.run.add(took / size, RUN_WEIGHT);
+    }
+
+    /// A request's size as far as hints have told run times so far; all of it until shown otherwise.
+    fn telling(&self, size: f64) -> f64 {
+        let shown = self.squares.count >= HINT_SAMPLES && self.squares.value > HINT_SPREAD;
+        let part = if shown { (self.follows.value / self.squares.value).clamp(0.0, 1.0) } else { 1.0 };
+        1.0 + (size - 1.0) * part
+    }
 }
 
 /// A running mean: plain at first, then with a fixed weight for what is new.
@@ -677,7 +701,7 @@
         self.progress = self.now;
         if !req.owed {
             // A run that went on past its answer tells its length all the same: the longest are among these.
-            self.controls[req.class].run.add(latency.secs() / req.size, RUN_WEIGHT);
+            self.controls[req.class].learn_run(latency.secs(), req.size);
             return;
         }
         self.turned.add(0.0, FAST);
@@ -688,7 +712,7 @@
         if req.crowd.max(self.on_core as f64 + 1.0) <= cores || control.quiet.count == 0.0 {
             control.quiet.add(own, SLOW);
         }
-        control.run.add(latency.secs() / req.size, RUN_WEIGHT);
+        control.learn_run(latency.secs(), req.size);
         self.stretch.add(own / control.quiet.value.max(1e-6), FAST);
         self.learn_fit(self.now <= req.aim);
         self.since_cut += 1.0;
@@ -712,11 +736,11 @@
         let Some(req) = self.reqs.get_mut(&id) else { return };
         let (phase, owed) = (req.phase, std::mem::replace(&mut req.owed, false));
         let stops = phase == Phase::Running && self.set.halt != Halt::None && req.root.is_none();
-        let took = (self.now - req.began).secs() / req.size;
-        let run = &mut self.controls[req.class].run;
+        let took = (self.now - req.began).secs();
+        let control = &mut self.controls[req.class];
         if stops {
             // A run cut short would have taken longer: without it, only quick runs tell what a run takes.
-            run.add(took.max(run.value), RUN_WEIGHT);
+            control.learn_run(took.max(control.run.value * req.size), req.size);
         }
         if owed && !self.stalled && !matches!(phase, Phase::Held | Phase::Attached) {
             self.learn_fit(false);
@@ -797,7 +821,8 @@
     /// Seconds that a request would take from start to end.
     fn run_time(&self, req: &Req) -> f64 {
         let aim = self.set.classes[req.class].aim.secs();
-        self.controls[req.class].run.or(RUN_GUESS * aim).min(RUN_MOST * aim) * req.size
+        let control = &self.controls[req.class];
+        control.run.or(RUN_GUESS * aim).min(RUN_MOST * aim) * control.telling(req.size)
     }
 
     fn sweep(&mut self) {
@@ -825,8 +850,8 @@
     fn hopeless(&self) -> Vec<RequestId> {
         let mut found = Vec::new();
         let mut ahead = 0.0;
-        let taken = self.on_core >= self.set.cores as usize;
-        let others = self.holds.iter().map(VecDeque::len).sum::<usize>() > 1;
+        let held = self.holds.iter().map(VecDeque::len).sum::<usize>();
+        let wanted = self.on_core >= self.set.cores as usize && held > 1;
         for &line in &self.order {
             for id in &self.holds[line] {
                 let Some(r) = self.reqs.get(id).filter(|r| r.owed && r.phase == Phase::Held) else {
@@ -837,9 +862,8 @@
                 let aim = self.set.classes[r.class].aim.secs();
                 let queued = (self.now - r.arrived).secs() > QUEUE_PART * aim;
                 // With other work for the slot, a run must be likely to end in time.
-                let wanted = ahead > 0.0 || taken && others;
-                let need = if wanted { run / self.fit.max(FIT_RUN) } else { run };
-                if need > left || queued && ahead / self.cap + run > self.fit * left {
+                let fit = if wanted { self.fit } else { 1.0 };
+                if run > fit.max(FIT_RUN) * left || queued && ahead / self.cap + run > fit * left {
                     found.push(*id);
                 } else {
                     ahead += run;
@@ -980,8 +1004,8 @@
 
     /// Closes idle connections early where few serve a second request: a full table takes part of the cores
     /// and keeps callers out. In a flood, with most work turned away, it is a door that costs nothing, and
-    /// stays: so too for one idle time after requests waited unread, since then new connections and reading take
-    /// the cores. It opens again while cores stand idle. Hurts where the same callers come again just after.
+    /// stays: so too for one idle time after requests waited unread, since new connections and reading take the
+    /// cores then. It opens again while cores stand idle. Hurts where the same callers come again just after.
     fn connections(&mut self, passed: f64) {
         self.read_rate.add(self.reads / passed, FAST);
         self.reads = 0.0;
