--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -1005,7 +1005,8 @@
     /// Closes idle connections early where few serve a second request: a full table takes part of the cores
     /// and keeps callers out. In a flood, with most work turned away, it is a door that costs nothing, and
     /// stays: so too for one idle time after requests waited unread, since new connections and reading take
-    /// the cores then. It opens again while cores stand idle. Hurts where the same callers come again just after.
+    /// the cores then. It opens again while cores stand idle. Hurts where the same callers come again just
+    /// after.
     fn connections(&mut self, passed: f64) {
         self.read_rate.add(self.reads / passed, FAST);
         self.reads = 0.0;
