--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -233,7 +233,7 @@
     calling: usize,
     cap: f64,
     /// Part of the cores that were busy of late, by the gauge.
-    busy: f64,
+    busy: Option<f64>,
     stretch: Mean,
     since_cut: f64,
     /// Part of what is left of its aim that a held request's queue and run may be reckoned to take: what they
@@ -242,6 +242,8 @@
     call_quiet: Mean,
     call_time: Mean,
     call_cap: f64,
+    /// Part of the calls of late that came back well.
+    taken: Mean,
     /// Call seconds of ours at a shared dependency: that pacing still grants, and when it was last brought
     /// forward; that calls in hand may take; and that each ended call took, until it leaves the mean.
     pace: f64,
@@ -288,6 +290,7 @@
             tenants: set.tenants.iter().map(share).collect(),
             cap: cores,
             fit: 1.0,
+            taken: Mean { value: 1.0, count: 1.0 / FAST },
             call_cap: match set.dependency {
                 Dependency::Shared { part, .. } => PART_LEAST * part,
                 _ => 1.0,
@@ -319,7 +322,7 @@
                 Event::Drain(left) => self.leave(*left),
                 Event::Timer { gauges, .. } => {
                     (self.open, swept) = (gauges.connections.unwrap_or(0.0), true);
-                    self.busy = gauges.cpu.unwrap_or(0.0);
+                    self.busy = gauges.cpu;
                     self.on_disk =
                         self.on_core - gauges.runnable.map_or(self.on_core, |r| self.on_core.min(r as usize));
                 }
@@ -563,6 +566,8 @@
         let at_call = self.reqs.iter().filter(|(_, r)| ready(r));
         let mut waiting: Vec<_> = at_call.map(|(&id, r)| (place(r), r.reached, id)).collect();
         waiting.sort();
+        // Repeats go by what comes back well: below one in two they would only add to what is turned away.
+        let tries = (f64::from(CALL_TRIES) * self.taken.value).round().max(1.0);
         for (_, reached, id) in waiting {
             let can_skip = self.set.classes[self.reqs[&id].class].skip_worth > 0.0;
             let most = self.call_room(can_skip);
@@ -576,7 +581,7 @@
             if can_skip && (hopeless || r.tries >= 2 || (!room && waited)) {
                 self.out.push(Action::Skip(id));
                 self.resume(id);
-            } else if r.tries >= CALL_TRIES || left.0 == 0 {
+            } else if f64::from(r.tries) >= tries || left.0 == 0 {
                 self.give_up(id);
             } else if room {
                 let mut limit = if can_skip { Span::from_secs(left.secs() * 0.5) } else { left };
@@ -642,6 +647,7 @@
         let effect = self.set.classes[req.class].effect;
         let (owed, tries) = (req.owed, req.tries);
         self.call_ended(outcome, since, limit);
+        self.taken.add(f64::from(u8::from(outcome == Outcome::Ok)), FAST);
         if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
             self.call_time.add(latency.secs(), FAST);
         }
@@ -717,7 +723,7 @@
         self.learn_fit(self.now <= req.aim);
         self.since_cut += 1.0;
         let waiting = self.holds.iter().any(|h| !h.is_empty());
-        let room = (1.0 - self.busy) * cores >= CAP_ROOM;
+        let room = (1.0 - self.busy.unwrap_or(0.0)) * cores >= CAP_ROOM;
         if self.now <= req.aim && waiting && room && self.stretch.value <= STRETCH {
             self.cap = (self.cap + 1.0 / self.cap).min(self.crowd() * CROWD_PART);
         }
@@ -976,7 +982,8 @@
     fn signal(&mut self) {
         let leaving = self.stalled || self.drain.is_some();
         let held = self.reqs.values().filter(|r| r.phase == Phase::Held);
-        let clear = held.map(|r| self.run_time(r)).sum::<f64>() / self.cap;
+        let unread = self.unread.value * self.tightest();
+        let clear = unread + held.map(|r| self.run_time(r)).sum::<f64>() / self.cap;
         let over = clear / (CLEAR_PART * self.tightest()) - 1.0;
         let top = 1.0 - 1.0 / self.set.classes.len().max(1) as f64;
         let step = if over > 0.0 { LEVEL_UP * over.min(1.0) } else { LEVEL_DOWN * over };
@@ -1016,11 +1023,12 @@
         // With a connection for every other caller there is room for all of them.
         let room = 2.0 * self.open >= self.set.callers as f64;
         let pressed = self.unread.value > QUEUE_PART;
+        let busy = self.busy.is_none_or(|b| b >= IDLE_BUSY);
         self.shut = if pressed { self.now + self.set.idle } else { self.shut };
         let factor = match idle / read.max(1.0) {
             _ if room || pressed => f64::MAX,
-            _ if self.now < self.shut => [1.0, IDLE_EASE][usize::from(self.busy < IDLE_BUSY)],
-            _ if self.turned.value > IDLE_DOOR => 2.0,
+            _ if self.now < self.shut => [1.0, IDLE_EASE][usize::from(!busy)],
+            _ if self.turned.value > IDLE_DOOR && busy => 2.0,
             many if many > IDLE_MANY && read >= IDLE_SAMPLE => 0.5,
             few if few < IDLE_FEW && read >= IDLE_FEW * IDLE_SAMPLE => 2.0,
             _ => 1.0,
