--- a/crates/heathspur/tests/guards.rs
+++ b/crates/heathspur/tests/guards.rs
@@ -476,6 +476,113 @@
     assert!(given.windows(2).all(|w| w[0] < w[1]) && given.len() > 1, "{given:?}");
 }
 
+/// The time that idle connections stay, after each of so many requests: four a second that waited unread so
+/// long, and are served.
+fn stays(b: &mut Bench, from: u64, n: u64, waited: Span) -> Vec<Span> {
+    let given = |a: &Action| if let Action::CloseIdle(span) = a { Some(*span) } else { None };
+    let mut stays = Vec::new();
+    for id in from..from + n {
+        b.arrive(Request { waited, ..request(id, 0) }, id);
+        b.pass(ms(250));
+        b.done(id, Outcome::Ok);
+        stays.push(b.all.iter().filter_map(given).next_back().unwrap_or(b.set.idle));
+    }
+    stays
+}
+
+/// A server that closes idle connections early, and what it gave them as requests then waited unread for half
+/// of their aim.
+fn unread_waits(cpu: Option<f64>) -> (Bench, Vec<Span>) {
+    let mut b = Bench::new(Settings { callers: 500, idle: ms(10_000), ..settings() });
+    b.gauges = Gauges { connections: Some(100.0), cpu, ..Gauges::default() };
+    stays(&mut b, 0, 60, ms(0));
+    let given = stays(&mut b, 100, 8, ms(1000));
+    (b, given)
+}
+
+#[test]
+fn requests_that_wait_unread_fill_the_table_at_once_and_for_one_idle_time() {
+    for cpu in [None, Some(0.75)] {
+        let (mut b, given) = unread_waits(cpu);
+        let early = given[0];
+        assert!(early < ms(2000), "not closed early: {early:?}");
+        assert!(given.iter().all(|&s| s == early || s == b.set.idle), "by steps: {given:?}");
+        assert_eq!(given.last(), Some(&b.set.idle));
+        // The mean of the waits takes some 10 requests to fall, and an idle time is 40.
+        let calm = stays(&mut b, 200, 80, ms(0));
+        let first = calm.iter().position(|&s| s < b.set.idle);
+        assert!(first.is_some_and(|n| (45..56).contains(&n)), "{cpu:?}: opened at {first:?}");
+        assert!(calm.last() < Some(&ms(2000)), "{calm:?}");
+    }
+}
+
+#[test]
+fn a_table_filled_by_unread_waits_opens_by_a_tenth_a_period_on_idle_cores() {
+    let (mut b, given) = unread_waits(Some(0.65));
+    assert_eq!(given.last(), Some(&b.set.idle));
+    let mut calm = stays(&mut b, 200, 40, ms(0));
+    calm.dedup();
+    let eases = |w: &[Span]| (w[1].secs() / w[0].secs() - 0.9).abs() < 0.001;
+    assert!(calm.len() > 8 && calm.windows(2).all(eases), "{calm:?}");
+}
+
+#[test]
+fn after_a_flood_idle_connections_are_closed_early_on_idle_cores_only() {
+    for (cpu, early) in [(Some(0.3), true), (Some(0.9), false), (None, false)] {
+        let mut b = Bench::new(Settings { callers: 500, ..settings() });
+        b.gauges.cpu = cpu.map(|_| 0.9);
+        b.arrive(request(99, 2), 99);
+        // Nothing ends: what comes is turned away, to the last.
+        let flood = idle_times(&mut b, 100, |_| 100.0, false);
+        assert!(flood.is_empty() && b.refused().len() > 40, "{flood:?}");
+        let before = b.all.len();
+        b.gauges.cpu = cpu;
+        b.pass(ms(8000));
+        let closed = b.all[before..].iter().any(|a| matches!(a, Action::CloseIdle(s) if *s < ms(20_000)));
+        assert_eq!(closed, early, "{cpu:?}");
+    }
+}
+
+/// How often the call of one request is made that always comes back full, and the time until it is given up,
+/// while all other calls, before and meanwhile, come back like this.
+fn tries_of_a_call(class: usize, others: Outcome) -> (usize, Span) {
+    let mut b = Bench::new(settings());
+    let mut next = 1000;
+    let mut call_others = |b: &mut Bench, n: u64| {
+        for id in next..next + n {
+            b.arrive(request(id, 0), id);
+            b.needs_call(id);
+            b.called(id, others);
+            b.done(id, Outcome::Error);
+        }
+        next += n;
+    };
+    call_others(&mut b, 40);
+    let began = b.now;
+    b.arrive(request(1, class), 1);
+    b.needs_call(1);
+    while b.known.get(&RequestId(1)).is_some_and(|k| !k.answered) {
+        if b.in_state(State::Calling).contains(&1) {
+            b.called(1, Outcome::Full);
+            // Between, so that the request's own calls weigh little.
+            call_others(&mut b, 8);
+        }
+        b.pass(ms(20));
+    }
+    let made = |a: &&Action| matches!(a, Action::Call { id: RequestId(1), .. });
+    (b.all.iter().filter(made).count(), b.now - began)
+}
+
+#[test]
+fn calls_are_repeated_as_far_as_calls_come_back_well() {
+    for class in [0, 1] {
+        assert_eq!(tries_of_a_call(class, Outcome::Ok).0, 4);
+        // Given up where the first repeat would have been.
+        let (made, took) = tries_of_a_call(class, Outcome::Full);
+        assert!(made == 1 && took < ms(250), "{made} calls, {took:?}");
+    }
+}
+
 #[test]
 fn repeats_that_wait_for_a_result_do_not_fill_the_memory() {
     let mut set = settings();
--- a/crates/heathspur/tests/path.rs
+++ b/crates/heathspur/tests/path.rs
@@ -238,6 +238,29 @@
     assert_eq!(said(&b), Some(0.0));
 }
 
+#[test]
+fn the_level_rises_while_requests_wait_unread_though_none_is_held() {
+    for (free_value, up) in [(FreeValue::Level, 1.0), (FreeValue::Weight, -1.0)] {
+        let mut b = Bench::new(Settings { free_value, ..settings() });
+        let mut said = |from: u64, waited: Span| {
+            let before = b.all.len();
+            for id in from..from + 12 {
+                b.arrive(Request { waited, ..request(id, 0) }, id);
+                assert_eq!(b.running(), [id], "held");
+                b.done(id, Outcome::Ok);
+                b.pass(ms(250));
+            }
+            let value = |a: &Action| if let Action::Say(v) = a { Some(up * *v) } else { None };
+            b.all[before..].iter().filter_map(value).collect::<Vec<_>>()
+        };
+        let rises = said(100, ms(1000));
+        assert!(rises.len() > 3 && rises.windows(2).all(|w| w[0] < w[1]), "{rises:?}");
+        said(200, ms(0));
+        let falls = said(300, ms(0));
+        assert!(falls.len() > 3 && falls.windows(2).all(|w| w[0] > w[1]), "{falls:?}");
+    }
+}
+
 #[test]
 fn refusals_ask_not_to_try_elsewhere_unless_told_patience_leaves_time() {
     let mut set = settings();
