Try large work where nobody else wants the slot; repeat calls by what is turned away

Change: a hint's size refuses only where another request waits for the slot. Tries of a call go by calls turned away below alone, and what is not tried again is given up in the batch in which its call came back.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -242,7 +242,7 @@
     call_quiet: Mean,
     call_time: Mean,
     call_cap: f64,
-    /// Part of the calls of late that came back well.
+    /// Part of the calls of late that were not turned away below.
     taken: Mean,
     /// Call seconds of ours at a shared dependency: that pacing still grants, and when it was last brought
     /// forward; that calls in hand may take; and that each ended call took, until it leaves the mean.
@@ -566,8 +566,7 @@
         let at_call = self.reqs.iter().filter(|(_, r)| ready(r));
         let mut waiting: Vec<_> = at_call.map(|(&id, r)| (place(r), r.reached, id)).collect();
         waiting.sort();
-        // Repeats go by what comes back well: below one in two they would only add to what is turned away.
-        let tries = (f64::from(CALL_TRIES) * self.taken.value).round().max(1.0);
+        let tries = self.call_tries();
         for (_, reached, id) in waiting {
             let can_skip = self.set.classes[self.reqs[&id].class].skip_worth > 0.0;
             let most = self.call_room(can_skip);
@@ -581,7 +580,7 @@
             if can_skip && (hopeless || r.tries >= 2 || (!room && waited)) {
                 self.out.push(Action::Skip(id));
                 self.resume(id);
-            } else if f64::from(r.tries) >= tries || left.0 == 0 {
+            } else if r.tries >= tries || left.0 == 0 {
                 self.give_up(id);
             } else if room {
                 let mut limit = if can_skip { Span::from_secs(left.secs() * 0.5) } else { left };
@@ -604,6 +603,11 @@
         }
     }
 
+    /// Times that one call is made, by what is taken below: where most is turned away repeats only add to it.
+    fn call_tries(&self) -> u32 {
+        (f64::from(CALL_TRIES) * self.taken.value).ceil().max(1.0) as u32
+    }
+
     /// Seconds that another call may take within our part of a shared dependency's load; 0 for none.
     ///
     /// The guard: what calls took that ended in the period of the mean, and what those in hand may take yet,
@@ -647,7 +651,9 @@
         let effect = self.set.classes[req.class].effect;
         let (owed, tries) = (req.owed, req.tries);
         self.call_ended(outcome, since, limit);
-        self.taken.add(f64::from(u8::from(outcome == Outcome::Ok)), FAST);
+        if matches!(outcome, Outcome::Ok | Outcome::Full) {
+            self.taken.add(f64::from(u8::from(outcome == Outcome::Ok)), FAST);
+        }
         if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
             self.call_time.add(latency.secs(), FAST);
         }
@@ -657,8 +663,10 @@
         }
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
         let wait = CALL_BACKOFF * f64::from(1u32 << tries.min(8)) * (0.5 + self.chance());
+        // What is not tried again is given up in this batch.
+        let again = if tries < self.call_tries() { wait } else { 0.0 };
         if let Some(req) = self.reqs.get_mut(&id) {
-            req.phase = Phase::AtCall(self.now + Span::from_secs(wait));
+            req.phase = Phase::AtCall(self.now + Span::from_secs(again));
         }
         if owed && !never_ran && effect != Effect::Safe {
             self.give_up(id);
@@ -869,7 +877,9 @@
                 let queued = (self.now - r.arrived).secs() > QUEUE_PART * aim;
                 // With other work for the slot, a run must be likely to end in time.
                 let fit = if wanted { self.fit } else { 1.0 };
-                if run > fit.max(FIT_RUN) * left || queued && ahead / self.cap + run > fit * left {
+                // With nobody else for the slot nothing is gained by turning away what is large.
+                let tried = if wanted { run } else { run.min(RUN_MOST * aim) };
+                if tried > fit.max(FIT_RUN) * left || queued && ahead / self.cap + tried > fit * left {
                     found.push(*id);
                 } else {
                     ahead += run;
--- a/crates/heathspurd/src/http1/mod.rs
+++ b/crates/heathspurd/src/http1/mod.rs
@@ -78,8 +78,7 @@
                 }
                 match wait(&stream, &mut buffer, &answers).await {
                     Some(given) => {
-                        // What was read behind it is owed an answer too, which is the last then.
-                        if front.desk.leaving.get() && buffer.is_empty() {
+                        if front.desk.leaving.get() {
                             last = Last::Yes;
                         }
                         answer::write(&stream, &front.desk, &Words::of(&given, &front.desk), last).await
