--- a/crates/heathspur-rig/src/scripted.rs
+++ b/crates/heathspur-rig/src/scripted.rs
@@ -310,6 +310,20 @@
         }
     }
 
+    /// All commands yet to come, but for those about gauges, until the server ends the link.
+    pub fn rest(mut self) -> Vec<Value> {
+        let (start, mut rest, mut line) = (Instant::now(), Vec::new(), String::new());
+        while matches!(self.reader.read_line(&mut line), Ok(n) if n > 0) {
+            assert!(start.elapsed() < NEVER, "the link stays");
+            let command: Value = serde_json::from_str(&line).unwrap();
+            if command["verb"] != "TOP" {
+                rest.push(command);
+            }
+            line.clear();
+        }
+        rest
+    }
+
     /// Answers questions for gauges until the server has asked so many.
     pub fn tops(&mut self, count: usize) {
         for _ in 0..count {
--- a/crates/heathspurd/src/http1/mod.rs
+++ b/crates/heathspurd/src/http1/mod.rs
@@ -78,7 +78,8 @@
                 }
                 match wait(&stream, &mut buffer, &answers).await {
                     Some(given) => {
-                        if front.desk.leaving.get() {
+                        // What was read behind it is owed an answer too, which is the last then.
+                        if front.desk.leaving.get() && buffer.is_empty() {
                             last = Last::Yes;
                         }
                         answer::write(&stream, &front.desk, &Words::of(&given, &front.desk), last).await
--- a/crates/heathspurd/tests/terms.rs
+++ b/crates/heathspurd/tests/terms.rs
@@ -1,5 +1,6 @@
 //! The terms under which operators start the server, as the process itself shows them: one process by `exec`,
-//! linked dynamically, one listener, no file written, nothing that spins, everything given back.
+//! linked dynamically, ready in time, one listener, no file written, nothing that spins, everything given back; and a
+//! notice to drain after which all that came is answered and nothing runs past the grace.
 //!
 //! `HEATHSPUR_PROGRAMS` names the folder of the programs under test; without it they are those just built.
 
@@ -10,12 +11,14 @@
 use procfs::net::{TcpState, UnixState};
 use procfs::process::{FDTarget, Process};
 use procfs::ProcResult;
+use serde_json::{json, Value};
 use std::collections::{BTreeSet, HashSet};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::sync::mpsc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -24,6 +27,10 @@
 /// Of two seconds of waiting, so much processor time at most; a thread that spins takes them all.
 const IDLE: Duration = Duration::from_secs(2);
 const AWAKE: f64 = 0.5;
+/// A server that takes longer to be ready has crashed.
+const READY: Duration = Duration::from_secs(30);
+/// The slack of the rules' times on sockets.
+const SLACK: Duration = Duration::from_millis(50);
 /// Memory that may stay with the allocator after a crowd of connections, in bytes.
 const KEPT: u64 = 8 << 20;
 
@@ -31,6 +38,7 @@
 struct Started {
     process: Running,
     address: SocketAddr,
+    since: Instant,
     /// The folders that it could leave something in: where it runs, and the home of whoever runs it.
     folders: PathBuf,
 }
@@ -52,10 +60,15 @@
 
 impl Started {
     fn new(name: &str) -> Started {
+        Started::with(name, |_| {})
+    }
+
+    fn with(name: &str, edit: impl FnOnce(&mut Value)) -> Started {
         let (vm, store, announce) = (local(), local(), local());
         let at = |l: &std::net::TcpListener| l.local_addr().unwrap();
         let mut config = config(at(&vm), at(&announce), at(&store));
         config["limits"]["sockets"] = 4096.into();
+        edit(&mut config);
         swift::interpreter(vm);
         swift::announce(announce);
         let folders = std::env::temp_dir().join(format!("heathspur-terms-{}-{name}", std::process::id()));
@@ -68,14 +81,21 @@
         command.args(["-c", &run_line()]).current_dir(folders.join("here")).env("HOME", folders.join("home"));
         // A group of its own, so that nothing it may have started outlives the test unseen.
         command.env("NODE_CONFIG", &file).process_group(0).stdin(Stdio::null()).stdout(Stdio::null());
+        let since = Instant::now();
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
-        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
         let process = Running(child);
-        let said = lines.find(|line| line.contains("listening on")).expect("it says where it listens");
-        let address = said.rsplit(' ').next().unwrap().parse().unwrap();
+        let (say, said) = mpsc::channel();
         // Nobody who stops reading the log may stop the server.
-        thread::spawn(move || lines.for_each(drop));
-        Started { process, address, folders }
+        thread::spawn(move || lines.for_each(|line| drop(say.send(line))));
+        let address = loop {
+            let left = READY.saturating_sub(since.elapsed());
+            let line = said.recv_timeout(left).expect("it says in time where it listens");
+            if line.contains("listening on") {
+                break line.rsplit(' ').next().unwrap().parse().unwrap();
+            }
+        };
+        Started { process, address, since, folders }
     }
 
     fn proc(&self) -> Process {
@@ -250,3 +270,202 @@
     started.serve(9);
     started.holds_the_terms("after the crowds");
 }
+
+#[test]
+fn it_is_ready_in_time_whoever_else_is_down() {
+    // Nobody listens where a listener was dropped.
+    let nobody = || json!(local().local_addr().unwrap());
+    let started = Started::with("ready", |config| {
+        config["announce"] = nobody();
+        config["store"] = nobody();
+    });
+    let mut client = Client::to(started.address);
+    loop {
+        client.send(b"GET /status/live HTTP/1.1\r\n\r\n");
+        if client.answer().0 == 200 {
+            break;
+        }
+        assert!(started.since.elapsed() < READY, "it is not ready");
+        thread::sleep(Duration::from_millis(10));
+    }
+    started.serve(1);
+    assert!(started.since.elapsed() < READY, "it was ready after {:?}", started.since.elapsed());
+}
+
+/// A drain of a server whose runs the test ends, with that grace; the process has this long from the notice.
+struct Drain {
+    rig: Rig,
+    vm: Vm,
+    stop: Duration,
+    told: Option<Instant>,
+}
+
+impl Drain {
+    fn with_grace(grace: Duration) -> Drain {
+        let stop = grace + Duration::from_secs(3);
+        let rig = Rig::with(|config| {
+            config["settings"]["guarantees"]["drain-grace-s"] = json!(grace.as_secs_f64());
+            config["stop_ms"] = json!(stop.as_millis() as u64);
+        });
+        let vm = rig.link();
+        Drain { rig, vm, stop, told: None }
+    }
+
+    /// A kept connection that had an answer.
+    fn kept(&mut self, txn: u64) -> Client {
+        let mut client = self.running(txn);
+        self.ends(txn);
+        let (status, fields, _) = client.answer();
+        assert_eq!((status, fields.get("connection")), (200, None));
+        client
+    }
+
+    /// A connection whose request runs.
+    fn running(&mut self, txn: u64) -> Client {
+        let mut client = self.rig.client();
+        client.send(&request(txn, None, b"abc"));
+        self.runs(txn);
+        client
+    }
+
+    /// The next command starts the run of that request.
+    fn runs(&mut self, txn: u64) {
+        assert_eq!(self.vm.apply().0, format!("{txn:016x}"));
+    }
+
+    fn ends(&mut self, txn: u64) {
+        self.vm.value(&format!("{txn:016x}"), "complete", b"done");
+    }
+
+    /// Tells it to drain; it has heard so when its report says so.
+    fn tell(&mut self) {
+        self.rig.process.terminate();
+        self.told = Some(Instant::now());
+        while self.rig.reports.recv_timeout(NEVER).unwrap() != json!({"accepting": "false"}) {}
+    }
+
+    /// It leaves by itself with nothing wrong, before it would be killed, and starts no run that the test has not
+    /// seen.
+    fn leaves(self) {
+        let Drain { mut rig, vm, stop, told } = self;
+        let rest = vm.rest();
+        assert_eq!(rig.process.wait().code(), Some(0));
+        let took = told.unwrap().elapsed();
+        assert!(took < stop, "it took {took:?} of {stop:?}");
+        assert!(rest.iter().all(|command| command["verb"] != "APPLY"), "{rest:?}");
+    }
+}
+
+/// An answer, and whether it is the last on its connection.
+fn answered(client: &mut Client) -> (u16, bool) {
+    let (status, fields, _) = client.answer();
+    (status, fields.get("connection").is_some_and(|word| word == "close"))
+}
+
+#[test]
+fn what_comes_on_kept_connections_within_the_grace_is_answered() {
+    let mut drain = Drain::with_grace(Duration::from_secs(2));
+    let (mut one, mut two) = (drain.kept(1), drain.kept(2));
+    drain.tell();
+    // One comes at once, of the other the first word.
+    two.send(b"POST /svc/look ");
+    one.send(&request(3, None, b"abc"));
+    drain.runs(3);
+    drain.ends(3);
+    assert_eq!(answered(&mut one), (200, true));
+    one.closed();
+    two.send(&request(4, None, b"abc")[b"POST /svc/look ".len()..]);
+    drain.runs(4);
+    drain.ends(4);
+    assert_eq!(answered(&mut two), (200, true));
+    two.closed();
+    // What its rules refuse is answered as well: no memory holds this one.
+    let mut large = drain.rig.client();
+    let text = String::from_utf8(request(5, None, b"abc")).unwrap();
+    large.send(text.replace("Set-Kb: 24.5", "Set-Kb: 1999").as_bytes());
+    assert_eq!(answered(&mut large), (503, true));
+    drain.leaves();
+}
+
+#[test]
+fn what_comes_on_kept_connections_past_the_grace_is_answered_and_never_run() {
+    let mut drain = Drain::with_grace(Duration::from_millis(500));
+    let (mut idle, mut begun) = (drain.kept(1), drain.kept(2));
+    let mut busy = drain.running(3);
+    drain.tell();
+    begun.send(b"POST /svc/look ");
+    // That nothing new is taken shows in the end of what has nothing open.
+    idle.closed();
+    thread::sleep(SLACK);
+    begun.send(&request(4, None, b"abc")[b"POST /svc/look ".len()..]);
+    assert_eq!(answered(&mut begun), (503, true));
+    begun.closed();
+    busy.send(&request(5, None, b"abc"));
+    drain.ends(3);
+    assert_eq!(answered(&mut busy).0, 200);
+    assert_eq!(answered(&mut busy), (503, true));
+    busy.closed();
+    drain.leaves();
+}
+
+#[test]
+fn what_came_while_the_machine_gave_no_time_is_answered_past_the_grace() {
+    let grace = Duration::from_secs(1);
+    let mut drain = Drain::with_grace(grace);
+    let mut kept = drain.kept(1);
+    drain.tell();
+    drain.rig.process.signal("STOP");
+    let process = Process::new(drain.rig.process.0.id() as i32).unwrap();
+    until("it stands still", || process.stat().unwrap().state == 'T');
+    until("the grace is over", || drain.told.unwrap().elapsed() > grace * 5 / 4);
+    kept.send(&request(2, None, b"abc"));
+    let mut crowd: Vec<Client> = (3..8).map(|_| drain.rig.client()).collect();
+    for (client, txn) in crowd.iter_mut().zip(3..) {
+        client.send(&request(txn, None, b"abc"));
+    }
+    drain.rig.process.signal("CONT");
+    for client in [&mut kept].into_iter().chain(&mut crowd) {
+        assert_eq!(answered(client), (503, true));
+        client.closed();
+    }
+    drain.leaves();
+}
+
+#[test]
+fn of_a_pair_across_the_notice_both_are_answered_and_the_first_says_no_close() {
+    for before in [false, true] {
+        let mut drain = Drain::with_grace(Duration::from_secs(2));
+        let mut client = drain.running(1);
+        if before {
+            client.send(&request(2, None, b"def"));
+        }
+        drain.tell();
+        if !before {
+            client.send(&request(2, None, b"def"));
+        }
+        drain.ends(1);
+        // Nothing is taken from a connection behind an answer that is its last, so the second would be lost.
+        assert_eq!(answered(&mut client), (200, false));
+        drain.runs(2);
+        drain.ends(2);
+        assert_eq!(answered(&mut client), (200, true));
+        client.closed();
+        drain.leaves();
+    }
+}
+
+#[test]
+fn idle_connections_are_closed_cleanly_in_a_drain_and_it_leaves_in_time() {
+    let mut drain = Drain::with_grace(Duration::from_millis(500));
+    let mut kept: Vec<Client> = (1..5).map(|txn| drain.kept(txn)).collect();
+    let mut silent = drain.rig.client();
+    drain.tell();
+    // A check still has its answer, on a connection that stays open for it.
+    kept[0].send(b"GET /status/live HTTP/1.1\r\n\r\n");
+    assert_eq!(answered(&mut kept[0]).0, 503);
+    // An end without a byte and without a reset; the balancers close nothing themselves.
+    for client in kept.iter_mut().chain([&mut silent]) {
+        client.closed();
+    }
+    drain.leaves();
+}
