Leave out a call that may be left out where most are turned away, not the request

Cause: calls() leaves a call out after two tries, but since tries go by what is turned away below the limit may be one, and then the request was given up first, though an answer without the call earns a part of its worth. Seen by reading the change again. Change: the lower of both counts. The new test fails without it.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -577,7 +577,7 @@
             let left = (useful - self.margin()) - self.now;
             let waited = (self.now - reached).secs() > SKIP_WAIT * class.aim.secs();
             let hopeless = (r.aim - self.now).secs() < self.call_time.value;
-            if can_skip && (hopeless || r.tries >= 2 || (!room && waited)) {
+            if can_skip && (hopeless || r.tries >= tries.min(2) || (!room && waited)) {
                 self.out.push(Action::Skip(id));
                 self.resume(id);
             } else if r.tries >= tries || left.0 == 0 {
--- a/crates/heathspur/tests/guards.rs
+++ b/crates/heathspur/tests/guards.rs
@@ -154,6 +154,24 @@
     assert!(b.all.contains(&Action::Skip(RequestId(1))));
 }
 
+#[test]
+fn where_calls_are_turned_away_a_skippable_one_is_left_out_and_not_given_up() {
+    let mut set = settings();
+    set.classes[0].skip_worth = 0.6;
+    let mut b = Bench::new(set);
+    for id in 1..40 {
+        b.arrive(request(id, 0), id);
+        b.needs_call(id);
+        while b.in_state(State::Calling).contains(&id) {
+            b.called(id, Outcome::Full);
+            b.pass(ms(400));
+        }
+        assert!(b.all.contains(&Action::Skip(RequestId(id))), "{id}");
+        b.done(id, Outcome::Ok);
+    }
+    assert!(b.refused().is_empty());
+}
+
 #[test]
 fn calls_at_once_stay_under_our_part_of_a_shared_dependency() {
     let mut set = settings();
