--- /dev/null
+++ b/crates/heathspurd/tests/unit/keys.rs
@@ -0,0 +1,117 @@
+//! Unit tests of `src/keys.rs`, which names this file as its module of tests.
+
+use super::*;
+
+fn keys() -> Keys {
+    Keys::new(2, 10, Span(1_000_000))
+}
+
+fn id(n: u64) -> RequestId {
+    RequestId(n)
+}
+
+/// A try with the usual body; it may come again for 50 us.
+fn a_try(n: u64, ingress: u64) -> Try {
+    Try { id: id(n), ingress, body: 7, window: Span(50) }
+}
+
+fn key(name: &str) -> Key {
+    Key::new(ClassId(0), name.as_bytes())
+}
+
+#[test]
+fn tries_are_linked_in_the_hold_before_anything_is_kept() {
+    let mut keys = keys();
+    assert_eq!(keys.link(&key("a"), a_try(1, 5)), Ok(None));
+    assert_eq!(keys.link(&key("a"), a_try(2, 6)), Ok(Some(id(1))));
+    assert_eq!(keys.link(&key("b"), a_try(3, 6)), Ok(None));
+}
+
+#[test]
+fn a_repeat_is_linked_by_when_it_reached_the_machine() {
+    let mut keys = keys();
+    keys.link(&key("a"), a_try(1, 5)).unwrap();
+    keys.keep(&key("a"), id(1), 100);
+    keys.runs(&key("a"), id(1));
+    assert!(keys.ended(&key("a"), id(1), Some(&Bytes::from_static(b"r"))).is_empty());
+    keys.leave(&key("a"), id(1));
+    keys.prune(900_000);
+    assert_eq!(keys.link(&key("a"), a_try(2, 99)), Ok(Some(id(1))));
+    assert_eq!(keys.attach(&key("a"), id(2)), Attached::Result(Bytes::from_static(b"r")));
+    keys.leave(&key("a"), id(2));
+    assert_eq!(keys.link(&key("a"), a_try(3, 100)), Ok(None));
+    assert_eq!(keys.bytes, 0);
+}
+
+#[test]
+fn those_that_wait_hear_of_the_end() {
+    let mut keys = keys();
+    keys.link(&key("a"), a_try(1, 5)).unwrap();
+    keys.link(&key("a"), a_try(2, 6)).unwrap();
+    keys.runs(&key("a"), id(1));
+    assert_eq!(keys.attach(&key("a"), id(2)), Attached::Waits);
+    assert_eq!(keys.ended(&key("a"), id(1), None), vec![id(2)]);
+    assert_eq!(keys.attach(&key("a"), id(2)), Attached::Failed);
+}
+
+#[test]
+fn waiting_for_what_is_dropped_unrun_fails() {
+    let mut keys = keys();
+    keys.link(&key("a"), a_try(1, 5)).unwrap();
+    keys.link(&key("a"), a_try(2, 6)).unwrap();
+    assert_eq!(keys.attach(&key("a"), id(2)), Attached::Waits);
+    assert_eq!(keys.leave(&key("a"), id(1)), vec![id(2)]);
+}
+
+#[test]
+fn the_table_is_bounded_in_entries_and_in_bytes() {
+    let mut keys = keys();
+    keys.link(&key("a"), a_try(1, 5)).unwrap();
+    keys.link(&key("b"), a_try(2, 5)).unwrap();
+    assert_eq!(keys.link(&key("c"), a_try(3, 5)), Err(Barred::Full));
+    for (name, n) in [("a", 1), ("b", 2)] {
+        keys.keep(&key(name), id(n), 100);
+        keys.runs(&key(name), id(n));
+        keys.ended(&key(name), id(n), Some(&Bytes::from_static(b"sevenby")));
+        keys.leave(&key(name), id(n));
+    }
+    assert_eq!(keys.attach(&key("a"), id(4)), Attached::Result(Bytes::from_static(b"sevenby")));
+    assert_eq!(keys.attach(&key("b"), id(5)), Attached::Failed);
+    keys.prune(2_000_000);
+    assert_eq!((keys.entries.len(), keys.holders.len(), keys.bytes), (0, 0, 0));
+}
+
+#[test]
+fn what_is_forgotten_is_new_again() {
+    let mut keys = keys();
+    keys.link(&key("a"), a_try(1, 5)).unwrap();
+    keys.keep(&key("a"), id(1), 100);
+    keys.leave(&key("a"), id(1));
+    keys.forget(id(1));
+    assert_eq!(keys.link(&key("a"), a_try(2, 6)), Ok(None));
+}
+
+#[test]
+fn a_key_goes_with_one_body_for_its_window_whatever_became_of_the_tries() {
+    let mut keys = keys();
+    let other = |n, ingress| Try { body: 8, ..a_try(n, ingress) };
+    keys.link(&key("a"), a_try(1, 5)).unwrap();
+    assert_eq!(keys.link(&key("a"), other(2, 6)), Err(Barred::OtherBody));
+    // It was refused before it ran.
+    keys.leave(&key("a"), id(1));
+    assert_eq!(keys.link(&key("a"), other(3, 54)), Err(Barred::OtherBody));
+    assert_eq!(keys.link(&key("a"), a_try(4, 20)), Ok(None));
+    keys.leave(&key("a"), id(4));
+    assert_eq!(keys.link(&key("a"), other(5, 69)), Err(Barred::OtherBody));
+    assert_eq!(keys.link(&key("a"), other(6, 70)), Ok(None));
+}
+
+#[test]
+fn what_is_only_remembered_makes_room_in_a_full_table() {
+    let mut keys = keys();
+    for (name, n) in [("a", 1), ("b", 2)] {
+        keys.link(&key(name), a_try(n, 5)).unwrap();
+        keys.leave(&key(name), id(n));
+    }
+    assert_eq!(keys.link(&key("c"), a_try(3, 6)), Ok(None));
+}
