Rename pool, permit, notify, response, events and readiness to their standard terms

Mechanical: Crowd and Place are Pool and Permit, Bell is Notify, Words is Response, News is an Event of its link or OwnerEvent at the owner, turn_away is reject, let_go is release_at, announce's Report is Readiness. No behaviour changes.

--- a/crates/heathspurd/src/accept.rs
+++ b/crates/heathspurd/src/accept.rs
@@ -1,7 +1,7 @@
 //! Connections of any front: accepted while there is room for them.
 
-use crate::crowd::Place;
 use crate::front::Desk;
+use crate::pool::Permit;
 use crate::tape::Stream;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -15,14 +15,14 @@
 
 /// Accepts connections while there is room for them and has each served; ends with the socket once no new
 /// request is taken.
-pub(crate) async fn accept(listener: Async<TcpListener>, desk: Rc<Desk>, serve: impl Fn(Stream, Place)) {
+pub(crate) async fn accept(listener: Async<TcpListener>, desk: Rc<Desk>, serve: impl Fn(Stream, Permit)) {
     while !desk.shutting.is_closed() {
-        desk.crowd.make_room();
-        let Some(place) = Place::take(&desk.crowd) else {
+        desk.pool.make_room();
+        let Some(permit) = Permit::take(&desk.pool) else {
             let pause = async {
                 Timer::after(BACK_OFF).await;
             };
-            future::or(desk.crowd.room(), pause).await;
+            future::or(desk.pool.room(), pause).await;
             continue;
         };
         let shut = async {
@@ -33,20 +33,20 @@
             None => {}
             Some(Ok((stream, _))) => {
                 let stream = Stream::accepted(stream, desk.tap.as_ref());
-                serve(stream, place);
+                serve(stream, permit);
             }
             Some(Err(e)) => {
                 error!(error = %e, "cannot accept a connection: {e}");
-                drop(place);
+                drop(permit);
                 Timer::after(BACK_OFF).await;
             }
         }
     }
     // What the machine has accepted already is served still.
-    while let (Some(place), Ok((stream, _))) = (Place::take(&desk.crowd), listener.get_ref().accept()) {
+    while let (Some(permit), Ok((stream, _))) = (Permit::take(&desk.pool), listener.get_ref().accept()) {
         if let Ok(stream) = Async::new(stream) {
             let stream = Stream::accepted(stream, desk.tap.as_ref());
-            serve(stream, place);
+            serve(stream, permit);
         }
     }
 }
--- a/crates/heathspurd/src/announce.rs
+++ b/crates/heathspurd/src/announce.rs
@@ -1,8 +1,8 @@
 //! Reports to the announce service: one a second, at once on a change, again soon after a failure.
 
-use crate::bell::Bell;
 use crate::clock::within;
 use crate::link::{self, Inflow, Target};
+use crate::notify::Notify;
 use crate::tape::Stream;
 use async_io::Timer;
 use futures_lite::{future, AsyncWriteExt};
@@ -21,38 +21,38 @@
 const LIMITS: Limits = Limits { head: 4 * 1024, body: 4 * 1024 };
 
 /// What is reported; nothing until it is known.
-pub(crate) struct Report {
-    accepting: Cell<Option<bool>>,
-    bell: Bell,
+pub(crate) struct Readiness {
+    ready: Cell<Option<bool>>,
+    changed: Notify,
 }
 
-impl Report {
-    pub fn new() -> Rc<Report> {
-        Rc::new(Report { accepting: Cell::new(None), bell: Bell::new() })
+impl Readiness {
+    pub fn new() -> Rc<Readiness> {
+        Rc::new(Readiness { ready: Cell::new(None), changed: Notify::new() })
     }
 
-    pub fn set(&self, accepting: bool) {
-        if self.accepting.replace(Some(accepting)) != Some(accepting) {
-            self.bell.ring();
+    pub fn set(&self, ready: bool) {
+        if self.ready.replace(Some(ready)) != Some(ready) {
+            self.changed.notify();
         }
     }
 }
 
 /// Reports for ever.
-pub(crate) async fn keep(target: Rc<Target>, name: String, report: Rc<Report>) {
+pub(crate) async fn keep(target: Rc<Target>, name: String, readiness: Rc<Readiness>) {
     let mut connection = None;
     loop {
-        let Some(accepting) = report.accepting.get() else {
-            report.bell.rung().await;
+        let Some(ready) = readiness.ready.get() else {
+            readiness.changed.notified().await;
             continue;
         };
         // A change does not wait for a report that is stuck: the connection goes, and a new one tells it.
         let address = target.get();
         let changed = async {
-            future::or(report.bell.rung(), target.moved(address)).await;
+            future::or(readiness.changed.notified(), target.moved(address)).await;
             None
         };
-        let told = within(CALL, tell(address, &name, accepting, &mut connection));
+        let told = within(CALL, tell(address, &name, ready, &mut connection));
         let wait = match future::or(async { Some(told.await) }, changed).await {
             None => {
                 connection = None;
@@ -67,7 +67,7 @@
         let pause = async {
             Timer::after(wait).await;
         };
-        future::or(future::or(report.bell.rung(), pause), target.moved(address)).await;
+        future::or(future::or(readiness.changed.notified(), pause), target.moved(address)).await;
         if target.get() != address {
             connection = None;
         }
@@ -78,10 +78,10 @@
 async fn tell(
     address: SocketAddr,
     name: &str,
-    accepting: bool,
+    ready: bool,
     connection: &mut Option<Stream>,
 ) -> io::Result<()> {
-    let body = format!(r#"{{"accepting":"{accepting}"}}"#);
+    let body = format!(r#"{{"accepting":"{ready}"}}"#);
     let mut out = Vec::new();
     http::write_call(&mut out, "PUT", &format!("/announce/{name}"), &address.to_string(), body.as_bytes());
     if let Some(kept) = connection.take() {
--- a/crates/heathspurd/src/front.rs
+++ b/crates/heathspurd/src/front.rs
@@ -3,9 +3,9 @@
 //! knows no protocol.
 //!
 //! What a request costs in memory and connections is told with it (`held_kb`) and by its front's places among the
-//! connections ([`Crowd`]).
+//! connections ([`Pool`]).
 
-use crate::crowd::Crowd;
+use crate::pool::Pool;
 use crate::room::Room;
 use crate::tape::Tap;
 use async_channel::{Receiver, Sender};
@@ -88,13 +88,13 @@
     /// Every answer is the last on its connection.
     pub leaving: Cell<bool>,
     /// By when fronts let go of answers that nobody reads, once nothing new is taken.
-    pub let_go: Cell<Option<Instant>>,
+    pub release_at: Cell<Option<Instant>>,
     /// Closed, never sent on, once no new request is taken: idle connections close.
     pub shutting: Receiver<()>,
     /// Where traffic is recorded, if it is.
     pub tap: Option<Rc<Tap>>,
     /// The connections of all fronts.
-    pub crowd: Rc<Crowd>,
+    pub pool: Rc<Pool>,
     /// The budget for answers that wait for their readers, where fronts share one.
     pub room: Option<Rc<Room>>,
 }
@@ -106,7 +106,7 @@
         idle: Span,
         shutting: Receiver<()>,
         tap: Option<Rc<Tap>>,
-        crowd: Rc<Crowd>,
+        pool: Rc<Pool>,
         room: Option<Rc<Room>>,
     ) -> Desk {
         Desk {
@@ -117,10 +117,10 @@
             idle: Cell::new(idle),
             free_value: Cell::new(None),
             leaving: Cell::new(false),
-            let_go: Cell::new(None),
+            release_at: Cell::new(None),
             shutting,
             tap,
-            crowd,
+            pool,
             room,
         }
     }
@@ -135,7 +135,7 @@
     /// Ends when nothing new is taken and answers that nobody reads are to be let go of.
     pub async fn released(&self) {
         self.shut().await;
-        match self.let_go.get() {
+        match self.release_at.get() {
             Some(at) => drop(Timer::at(at).await),
             None => future::pending().await,
         }
@@ -143,7 +143,7 @@
 
     /// Whether that time has come.
     pub fn is_released(&self) -> bool {
-        self.shutting.is_closed() && self.let_go.get().is_some_and(|at| at <= Instant::now())
+        self.shutting.is_closed() && self.release_at.get().is_some_and(|at| at <= Instant::now())
     }
 
     /// Ends once no new request is taken. The channel is closed then; nothing is ever sent on it.
--- a/crates/heathspurd/src/hear.rs
+++ b/crates/heathspurd/src/hear.rs
@@ -1,9 +1,9 @@
 //! What the interpreter and the store tell: ends of runs, calls that are needed, gauges, replies.
 
 use crate::front::Answer;
-use crate::interpreter::News as Heard;
+use crate::interpreter::Event as Heard;
 use crate::owner::{LinkState, Owner};
-use crate::store::News as Called;
+use crate::store::Event as Called;
 use crate::table::{Halting, Need, Told, Work};
 use bytes::Bytes;
 use heathspur::{Event, Gauges, Halt, Outcome, RequestId, Span};
--- a/crates/heathspurd/src/http1/answer.rs
+++ b/crates/heathspurd/src/http1/answer.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::within;
 use crate::front::Desk;
-use crate::reply::Words;
+use crate::response::Response;
 use crate::room::Room;
 use crate::tape::Stream;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
@@ -19,9 +19,9 @@
 const SLOW: Duration = Duration::from_secs(10);
 
 /// Writes an answer; an error means that the connection is of no more use.
-pub(crate) async fn write(stream: &Stream, desk: &Desk, words: &Words, last: Last) -> io::Result<()> {
-    let mut out = Vec::with_capacity(256 + words.body.len());
-    http::write_answer(&mut out, words.status, &words.fields, last, &words.body);
+pub(crate) async fn write(stream: &Stream, desk: &Desk, response: &Response, last: Last) -> io::Result<()> {
+    let mut out = Vec::with_capacity(256 + response.body.len());
+    http::write_answer(&mut out, response.status, &response.fields, last, &response.body);
     match &desk.room {
         None => put(stream, &out).await,
         Some(room) => put_in_room(stream, room, &out).await,
@@ -29,7 +29,7 @@
 }
 
 /// Answers what is no request that can be taken, and ends its connection.
-pub(crate) async fn turn_away(stream: &Stream, status: u16) {
+pub(crate) async fn reject(stream: &Stream, status: u16) {
     let mut out = Vec::new();
     http::write_answer(&mut out, status, &[], Last::Yes, b"");
     // The connection ends either way.
--- a/crates/heathspurd/src/http1/mod.rs
+++ b/crates/heathspurd/src/http1/mod.rs
@@ -3,10 +3,10 @@
 
 mod answer;
 
-use crate::crowd::Place;
 use crate::front::{Answer, Arrival, Front};
-use crate::reply::Words;
+use crate::pool::Permit;
 use crate::request::{Asked, Draft};
+use crate::response::Response;
 use crate::tape::Stream;
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -42,34 +42,36 @@
 }
 
 /// What serves a connection of this front.
-pub(crate) fn serve(executor: Rc<LocalExecutor<'static>>, front: Rc<Front>) -> impl Fn(Stream, Place) {
-    move |stream, place| executor.spawn(connection(stream, front.clone(), place)).detach()
+pub(crate) fn serve(executor: Rc<LocalExecutor<'static>>, front: Rc<Front>) -> impl Fn(Stream, Permit) {
+    move |stream, permit| executor.spawn(connection(stream, front.clone(), permit)).detach()
 }
 
 /// Serves one connection to its end.
-async fn connection(stream: Stream, front: Rc<Front>, place: Place) {
+async fn connection(stream: Stream, front: Rc<Front>, permit: Permit) {
     if stream.get_ref().set_nodelay(true).is_err() {
         return;
     }
     let mut buffer = BytesMut::new();
     let mut reader = Reader::new(LIMITS);
     loop {
-        let fresh = !place.asked();
-        let message = match place.rest(next(&stream, &front, &mut buffer, &mut reader, fresh)).await {
+        let fresh = !permit.asked();
+        let message = match permit.rest(next(&stream, &front, &mut buffer, &mut reader, fresh)).await {
             Some(Ok(message)) => message,
             None | Some(Err(Ended::Closed)) => return,
-            Some(Err(Ended::Bad(status))) => return turn_away(&stream, &place, status).await,
+            Some(Err(Ended::Bad(status))) => return reject(&stream, &permit, status).await,
         };
         let close = http::says_close(Fields::over(&buffer[message.fields.clone()]));
         let whole = buffer.split_to(message.body.end).freeze();
         let mut last = if close { Last::Yes } else { Last::No };
         let asked = understand(&whole, &message, &front);
         if !matches!(asked, Read::Bad(_)) {
-            place.has_asked();
+            permit.has_asked();
         }
         let answered = match asked {
-            Read::Health => answer::write(&stream, &front.desk, &Words::of_health(&front.desk), last).await,
-            Read::Bad(status) => return turn_away(&stream, &place, status).await,
+            Read::Health => {
+                answer::write(&stream, &front.desk, &Response::of_health(&front.desk), last).await
+            }
+            Read::Bad(status) => return reject(&stream, &permit, status).await,
             Read::Request(arrival, answers) => {
                 let id = arrival.id;
                 drop(whole);
@@ -82,7 +84,7 @@
                         if front.desk.leaving.get() && buffer.is_empty() {
                             last = Last::Yes;
                         }
-                        answer::write(&stream, &front.desk, &Words::of(&given, &front.desk), last).await
+                        answer::write(&stream, &front.desk, &Response::of(&given, &front.desk), last).await
                     }
                     None => {
                         answers.close();
@@ -100,9 +102,9 @@
 }
 
 /// Answers what can't be taken; its place is free for others at once.
-async fn turn_away(stream: &Stream, place: &Place, status: u16) {
+async fn reject(stream: &Stream, permit: &Permit, status: u16) {
     // It ends either way.
-    let _ = place.rest(answer::turn_away(stream, status)).await;
+    let _ = permit.rest(answer::reject(stream, status)).await;
 }
 
 /// Waits for the answer while it watches the connection; none once the caller is gone.
--- a/crates/heathspurd/src/http2/mod.rs
+++ b/crates/heathspurd/src/http2/mod.rs
@@ -8,8 +8,8 @@
 mod wire;
 
 use crate::clock::within;
-use crate::crowd::Place;
 use crate::front::Front;
+use crate::pool::Permit;
 use crate::room::Room;
 use crate::tape::Stream;
 use async_executor::LocalExecutor;
@@ -95,7 +95,7 @@
     front: Front,
     bounds: Http2,
     room: Rc<Room>,
-) -> impl Fn(Stream, Place) {
+) -> impl Fn(Stream, Permit) {
     let share = Share::new(Bounds {
         connection: bounds.streams.connection,
         all: bounds.streams.all,
@@ -109,16 +109,16 @@
         room,
         start: Instant::now(),
     });
-    move |stream, place| executor.spawn(connection(stream, shared.clone(), place)).detach()
+    move |stream, permit| executor.spawn(connection(stream, shared.clone(), permit)).detach()
 }
 
 /// Serves one connection to its end.
-async fn connection(stream: Stream, shared: Rc<Shared>, place: Place) {
+async fn connection(stream: Stream, shared: Rc<Shared>, permit: Permit) {
     if stream.get_ref().set_nodelay(true).is_err() {
         return;
     }
     let whole = shared.bounds.request.whole.0;
-    let head = match place.rest(within(whole, preface(&stream))).await {
+    let head = match permit.rest(within(whole, preface(&stream))).await {
         Some(Ok(head)) => head,
         Some(Err(e)) if e.kind() == io::ErrorKind::InvalidData => {
             // Whoever speaks another version is told so in words that it can read.
@@ -126,7 +126,7 @@
             let words = b"This port speaks HTTP/2 by prior knowledge only.\n";
             write_answer(&mut out, 505, &[], Last::Yes, words);
             let _ = within(FAREWELL, (&stream).write_all(&out)).await;
-            let _ = place.rest(within(LINGER, linger(&stream))).await;
+            let _ = permit.rest(within(LINGER, linger(&stream))).await;
             return;
         }
         None | Some(Err(_)) => return,
@@ -137,7 +137,7 @@
     let _joined = Joined(shared.clone());
     let built = builder(&shared).handshake::<_, Bytes>(wire);
     let made = within(whole, async { built.await.map_err(io::Error::other) });
-    let Some(Ok(mut h2)) = place.rest(made).await else { return };
+    let Some(Ok(mut h2)) = permit.rest(made).await else { return };
     let conn = Rc::new(Conn {
         holder: shared.room.holder(),
         seen,
@@ -145,10 +145,10 @@
         idle_since: Cell::new(Instant::now()),
         shared,
     });
-    drive(&mut h2, &conn, &place).await;
+    drive(&mut h2, &conn, &permit).await;
     drop(h2);
     conn.seen.close();
-    let _ = place.rest(within(LINGER, linger(&stream))).await;
+    let _ = permit.rest(within(LINGER, linger(&stream))).await;
 }
 
 fn builder(shared: &Shared) -> Builder {
@@ -197,7 +197,7 @@
 }
 
 /// Takes a connection's streams until it ends.
-async fn drive(h2: &mut Connection<Wire, Bytes>, conn: &Rc<Conn>, place: &Place) {
+async fn drive(h2: &mut Connection<Wire, Bytes>, conn: &Rc<Conn>, permit: &Permit) {
     let (shared, desk) = (&conn.shared, &conn.shared.front.desk);
     let patience = &shared.bounds.patience;
     let mut drain = Drain::new(patience.round_trip.0.as_micros() as u64);
@@ -208,14 +208,14 @@
             None => LOOK,
         };
         let woken = if conn.open.get() == 0 {
-            place.rest(wake(h2, conn, shut, sleep)).await.unwrap_or(Woken::Asked)
+            permit.rest(wake(h2, conn, shut, sleep)).await.unwrap_or(Woken::Asked)
         } else {
             wake(h2, conn, shut, sleep).await
         };
         let mut steps = [Step::None; 3];
         match woken {
             Woken::Stream(asked) => {
-                place.has_asked();
+                permit.has_asked();
                 take(*asked, conn, &drain);
                 h2.set_target_window_size(shared.share.borrow().window());
             }
--- a/crates/heathspurd/src/http2/stream.rs
+++ b/crates/heathspurd/src/http2/stream.rs
@@ -2,8 +2,8 @@
 
 use super::{Conn, Taken};
 use crate::front::{Answer, Arrival};
-use crate::reply::Words;
 use crate::request::{Asked, Draft};
+use crate::response;
 use crate::room::Held;
 use async_channel::Receiver;
 use async_io::Timer;
@@ -36,7 +36,7 @@
     until: Instant,
     /// Where its answer comes, once it is handed in.
     given: Option<(RequestId, Receiver<Answer>)>,
-    words: Option<Words>,
+    reply: Option<response::Response>,
     /// Where the answer's body goes, how far it has gone, and what of it waits in the budget.
     out: Option<SendStream<Bytes>>,
     sent: usize,
@@ -61,7 +61,7 @@
         fields: head.headers,
         until,
         given: None,
-        words: None,
+        reply: None,
         out: None,
         sent: 0,
         held: None,
@@ -71,8 +71,8 @@
         // It is answered by the front alone, so it needs to be read no further.
         Asked::Health => {
             stream.conn.seen.meter.borrow_mut().request();
-            let words = Words::of_health(&stream.conn.shared.front.desk);
-            let _ = stream.head(&words, true);
+            let reply = response::Response::of_health(&stream.conn.shared.front.desk);
+            let _ = stream.head(&reply, true);
             return;
         }
         Asked::Bad(status) => Some(Event::Wrong { status }),
@@ -137,9 +137,9 @@
         let answer = async {
             match answers.recv().await {
                 Ok(answer) => {
-                    let words = Words::of(&answer, desk);
-                    let bytes = words.body.len() as u32;
-                    self.words = Some(words);
+                    let reply = response::Response::of(&answer, desk);
+                    let bytes = reply.body.len() as u32;
+                    self.reply = Some(reply);
                     Event::Answer { bytes }
                 }
                 // The owner gives every request an answer, or has been told that its caller is gone.
@@ -226,22 +226,22 @@
                 None
             }
             Action::Say { status } => {
-                let words = Words { status, fields: Vec::new(), body: Bytes::new() };
-                self.head(&words, true).err()
+                let reply = response::Response { status, fields: Vec::new(), body: Bytes::new() };
+                self.head(&reply, true).err()
             }
             Action::Head => {
-                let words = self.words.take()?;
+                let reply = self.reply.take()?;
                 self.until = Instant::now() + self.conn.shared.bounds.patience.stalled.0;
-                let failed = self.head(&words, words.body.is_empty()).err();
+                let failed = self.head(&reply, reply.body.is_empty()).err();
                 self.conn.shared.share.borrow_mut().answered();
-                self.conn.seen.meter.borrow_mut().answer(words.body.len() as u64);
-                self.words = Some(words);
+                self.conn.seen.meter.borrow_mut().answer(reply.body.len() as u64);
+                self.reply = Some(reply);
                 failed
             }
             Action::Send { bytes, end } => {
-                let (words, out) = (self.words.as_ref()?, self.out.as_mut()?);
+                let (reply, out) = (self.reply.as_ref()?, self.out.as_mut()?);
                 let to = self.sent + bytes as usize;
-                let part = words.body.slice(self.sent..to);
+                let part = reply.body.slice(self.sent..to);
                 self.sent = to;
                 self.held = None;
                 self.conn.seen.queue(part.len());
@@ -269,7 +269,7 @@
         let front = &conn.shared.front;
         let Some((arrival, answers)) = self.draft(class) else {
             // It is answered as one that the owner found wrong, and never reached it.
-            self.words = Some(Words { status: 400, fields: Vec::new(), body: Bytes::new() });
+            self.reply = Some(response::Response { status: 400, fields: Vec::new(), body: Bytes::new() });
             return Some(Event::Answer { bytes: 0 });
         };
         conn.seen.meter.borrow_mut().request();
@@ -294,17 +294,17 @@
     }
 
     /// Sends a head; the event is what it failed with.
-    fn head(&mut self, words: &Words, end: bool) -> Result<(), Event> {
+    fn head(&mut self, reply: &response::Response, end: bool) -> Result<(), Event> {
         let mut response = Response::new(());
         *response.status_mut() =
-            StatusCode::from_u16(words.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        for (name, value) in &words.fields {
+            StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        for (name, value) in &reply.fields {
             let name = HeaderName::from_bytes(name.as_bytes());
             if let (Ok(name), Ok(value)) = (name, HeaderValue::try_from(value.to_string())) {
                 response.headers_mut().insert(name, value);
             }
         }
-        response.headers_mut().insert(http::header::CONTENT_LENGTH, words.body.len().into());
+        response.headers_mut().insert(http::header::CONTENT_LENGTH, reply.body.len().into());
         self.conn.seen.queue(HEAD);
         let sent = self.respond.send_response(response, end).map_err(|e| ended(&e))?;
         self.out = (!end).then_some(sent);
--- a/crates/heathspurd/src/http2/wire.rs
+++ b/crates/heathspurd/src/http2/wire.rs
@@ -1,7 +1,7 @@
 //! A stream as the `h2` crate wants it: tokio's traits over ours, with the frames that come in counted and the
 //! bytes that go out watched.
 
-use crate::bell::Bell;
+use crate::notify::Notify;
 use crate::tape::Stream;
 use bytes::{Buf, Bytes};
 use futures_lite::{AsyncRead as _, AsyncWrite as _};
@@ -31,7 +31,7 @@
     /// Bytes of answers handed to the library and not seen on the socket yet, as far as can be told: its own
     /// frames on the way are few and count as answers.
     queued: Cell<usize>,
-    flowed: Bell,
+    flowed: Notify,
     closed: Cell<bool>,
 }
 
@@ -44,7 +44,7 @@
             behind: Cell::new(false),
             stuck: Cell::new(None),
             queued: Cell::new(0),
-            flowed: Bell::new(),
+            flowed: Notify::new(),
             closed: Cell::new(false),
         })
     }
@@ -99,15 +99,15 @@
             return;
         }
         while !test(self) && !self.closed.get() {
-            self.flowed.rung().await;
+            self.flowed.notified().await;
         }
-        self.flowed.ring();
+        self.flowed.notify();
     }
 
     /// The connection has ended: nobody waits for it any more.
     pub fn close(&self) {
         self.closed.set(true);
-        self.flowed.ring();
+        self.flowed.notify();
     }
 }
 
@@ -173,7 +173,7 @@
             Poll::Ready(Ok(count)) => {
                 seen.stuck.set(None);
                 seen.queued.set(seen.queued.get().saturating_sub(*count));
-                seen.flowed.ring();
+                seen.flowed.notify();
             }
             Poll::Ready(Err(_)) => {}
         }
@@ -183,7 +183,7 @@
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // All that was written before is gone; frames of streams that were reset never come by here.
         self.seen.queued.set(0);
-        self.seen.flowed.ring();
+        self.seen.flowed.notify();
         Pin::new(&mut &*self.stream).poll_flush(cx)
     }
 
--- a/crates/heathspurd/src/inbox.rs
+++ b/crates/heathspurd/src/inbox.rs
@@ -7,39 +7,39 @@
 
 /// What happened.
 #[derive(Debug)]
-pub(crate) enum News {
+pub(crate) enum OwnerEvent {
     /// The caller of a request is gone.
     Gone(RequestId),
     /// A connection has closed, and somebody waits for the last one.
     Closed,
-    Interpreter(interpreter::News),
-    Store(store::News),
+    Interpreter(interpreter::Event),
+    Store(store::Event),
     /// The notice to drain.
     Drain,
     /// The configuration was replaced.
     Reload(Box<Config>),
 }
 
-impl From<interpreter::News> for News {
-    fn from(heard: interpreter::News) -> News {
-        News::Interpreter(heard)
+impl From<interpreter::Event> for OwnerEvent {
+    fn from(heard: interpreter::Event) -> OwnerEvent {
+        OwnerEvent::Interpreter(heard)
     }
 }
 
-impl From<RequestId> for News {
-    fn from(gone: RequestId) -> News {
-        News::Gone(gone)
+impl From<RequestId> for OwnerEvent {
+    fn from(gone: RequestId) -> OwnerEvent {
+        OwnerEvent::Gone(gone)
     }
 }
 
-impl From<()> for News {
-    fn from((): ()) -> News {
-        News::Closed
+impl From<()> for OwnerEvent {
+    fn from((): ()) -> OwnerEvent {
+        OwnerEvent::Closed
     }
 }
 
-impl From<store::News> for News {
-    fn from(called: store::News) -> News {
-        News::Store(called)
+impl From<store::Event> for OwnerEvent {
+    fn from(called: store::Event) -> OwnerEvent {
+        OwnerEvent::Store(called)
     }
 }
--- a/crates/heathspurd/src/interpreter.rs
+++ b/crates/heathspurd/src/interpreter.rs
@@ -1,8 +1,8 @@
 //! The link to the interpreter: held open, made again when it breaks, resumed at the last notice read.
 
-use crate::bell::Bell;
 use crate::front::Txn;
 use crate::link::{connect, Inflow, Target};
+use crate::notify::Notify;
 use crate::tape::{Stream, Tap};
 use async_channel::Sender;
 use async_io::Timer;
@@ -23,7 +23,7 @@
 
 /// What the link tells the owner.
 #[derive(Debug)]
-pub(crate) enum News {
+pub(crate) enum Event {
     Banner { warmth: Warmth, ago_ms: f64 },
     Ended { txn: Txn, end: End, body: Bytes },
     Waits { txn: Txn, index: u64, body: Bytes },
@@ -35,25 +35,25 @@
 /// The owner's end of the link: commands wait here to be written.
 pub(crate) struct Link {
     out: RefCell<Vec<u8>>,
-    bell: Bell,
+    queued: Notify,
 }
 
 impl Link {
     pub fn new() -> Rc<Link> {
-        Rc::new(Link { out: RefCell::new(Vec::new()), bell: Bell::new() })
+        Rc::new(Link { out: RefCell::new(Vec::new()), queued: Notify::new() })
     }
 
     pub fn send(&self, command: Command<'_>) {
         wire::write(&mut self.out.borrow_mut(), command);
-        self.bell.ring();
+        self.queued.notify();
     }
 }
 
 /// Keeps the link up for ever, wherever the interpreter is found.
-pub(crate) async fn keep<N: From<News>>(
+pub(crate) async fn keep<N: From<Event>>(
     target: Rc<Target>,
     link: Rc<Link>,
-    news: Sender<N>,
+    events: Sender<N>,
     tap: Option<Rc<Tap>>,
 ) {
     let (mut last, mut wait) = (0, SHORTEST);
@@ -66,13 +66,13 @@
                     target.moved(address).await;
                     "it has moved".to_string()
                 };
-                let ended = future::or(talk(&stream, &link, &news, &mut last), moved).await;
+                let ended = future::or(talk(&stream, &link, &events, &mut last), moved).await;
                 link.out.borrow_mut().clear();
                 warn!(last, cause = %ended, "the interpreter's link broke after notice {last}: {ended}");
                 if last > before {
                     wait = SHORTEST;
                 }
-                if news.send(News::Down.into()).await.is_err() {
+                if events.send(Event::Down.into()).await.is_err() {
                     return;
                 }
             }
@@ -91,7 +91,7 @@
 }
 
 /// Carries one connection to its end and says why it ended.
-async fn talk<N: From<News>>(stream: &Stream, link: &Link, news: &Sender<N>, last: &mut u64) -> String {
+async fn talk<N: From<Event>>(stream: &Stream, link: &Link, events: &Sender<N>, last: &mut u64) -> String {
     let mut hello = Vec::new();
     wire::write(&mut hello, Command::Connect(*last));
     {
@@ -99,7 +99,7 @@
         out.clear();
         out.append(&mut hello);
     }
-    future::or(listen(stream, news, last), speak(stream, link)).await
+    future::or(listen(stream, events, last), speak(stream, link)).await
 }
 
 async fn speak(mut stream: &Stream, link: &Link) -> String {
@@ -110,7 +110,7 @@
             return format!("it left {} bytes of commands unread", out.len());
         }
         if out.is_empty() {
-            link.bell.rung().await;
+            link.queued.notified().await;
             continue;
         }
         if let Err(e) = stream.write_all(&out).await {
@@ -120,7 +120,7 @@
     }
 }
 
-async fn listen<N: From<News>>(stream: &Stream, news: &Sender<N>, last: &mut u64) -> String {
+async fn listen<N: From<Event>>(stream: &Stream, events: &Sender<N>, last: &mut u64) -> String {
     let mut inflow = Inflow::new();
     loop {
         if let Err(e) = inflow.fill(stream).await {
@@ -134,7 +134,7 @@
                 Err(e) => return format!("a line makes no sense: {e}"),
             };
             if let Some(heard) = heard {
-                if news.send(heard.into()).await.is_err() {
+                if events.send(heard.into()).await.is_err() {
                     return "the server has ended".to_string();
                 }
             }
@@ -147,27 +147,27 @@
 }
 
 /// What a notice tells the owner; nothing when it was taken before.
-fn understand(notice: Notice<'_>, last: &mut u64) -> Option<News> {
+fn understand(notice: Notice<'_>, last: &mut u64) -> Option<Event> {
     let mut fresh = |index: u64| {
         let new = index > *last;
         *last = index.max(*last);
         new
     };
     match notice {
-        Notice::Banner { warmth, ago_ms } => Some(News::Banner { warmth, ago_ms }),
+        Notice::Banner { warmth, ago_ms } => Some(Event::Banner { warmth, ago_ms }),
         Notice::Value { index, task, end, body } => {
             let txn = Txn::read(task.as_bytes());
             fresh(index).then_some(())?;
-            Some(News::Ended { txn: txn?, end, body: body.into() })
+            Some(Event::Ended { txn: txn?, end, body: body.into() })
         }
         Notice::Await { index, task, body } => {
             let txn = Txn::read(task.as_bytes());
             fresh(index).then_some(())?;
-            Some(News::Waits { txn: txn?, index, body: body.into() })
+            Some(Event::Waits { txn: txn?, index, body: body.into() })
         }
-        Notice::Tops { nonce, readings } => Some(News::Gauges { nonce: nonce.parse().ok()?, readings }),
+        Notice::Tops { nonce, readings } => Some(Event::Gauges { nonce: nonce.parse().ok()?, readings }),
         Notice::Refused { command, task } => {
-            Some(News::Refused { command: command.into_owned(), txn: Txn::read(task.as_bytes()) })
+            Some(Event::Refused { command: command.into_owned(), txn: Txn::read(task.as_bytes()) })
         }
         Notice::Trace { index } => {
             fresh(index);
--- a/crates/heathspurd/src/link.rs
+++ b/crates/heathspurd/src/link.rs
@@ -1,7 +1,7 @@
 //! What the links have in common: connections that come up in time, bytes read.
 
-use crate::bell::Bell;
 use crate::clock::within;
+use crate::notify::Notify;
 use crate::tape::{Stream, Tap};
 use async_io::Async;
 use futures_lite::AsyncReadExt;
@@ -19,12 +19,12 @@
 /// Where a peer is found; a new configuration may move it.
 pub(crate) struct Target {
     address: Cell<SocketAddr>,
-    moved: Bell,
+    moved: Notify,
 }
 
 impl Target {
     pub fn new(address: SocketAddr) -> Target {
-        Target { address: Cell::new(address), moved: Bell::new() }
+        Target { address: Cell::new(address), moved: Notify::new() }
     }
 
     pub fn get(&self) -> SocketAddr {
@@ -33,14 +33,14 @@
 
     pub fn set(&self, address: SocketAddr) {
         if self.address.replace(address) != address {
-            self.moved.ring();
+            self.moved.notify();
         }
     }
 
     /// Waits until it is no longer at this address. One link waits for each target.
     pub async fn moved(&self, from: SocketAddr) {
         while self.address.get() == from {
-            self.moved.rung().await;
+            self.moved.notified().await;
         }
     }
 }
--- a/crates/heathspurd/src/owner.rs
+++ b/crates/heathspurd/src/owner.rs
@@ -3,7 +3,7 @@
 use crate::announce;
 use crate::clock::Clock;
 use crate::front::Desk;
-use crate::inbox::News;
+use crate::inbox::OwnerEvent;
 use crate::interpreter;
 use crate::keys::Keys;
 use crate::link::Target;
@@ -43,11 +43,11 @@
 pub(crate) struct Owner {
     pub settings: Settings,
     pub desk: Rc<Desk>,
-    pub report: Rc<announce::Report>,
+    pub readiness: Rc<announce::Readiness>,
     pub interpreter: Rc<interpreter::Link>,
     pub targets: Targets,
     pub link: LinkState,
-    pub store: Rc<store::Link<News>>,
+    pub store: Rc<store::Link<OwnerEvent>>,
     pub table: Table,
     pub keys: Keys,
     pub timers: BinaryHeap<Reverse<(Time, Token)>>,
--- a/crates/heathspurd/src/crowd.rs
+++ b/crates/heathspurd/src/pool.rs
@@ -1,6 +1,6 @@
 //! The connections from balancers: how many there may be, and which one leaves when another needs the room.
 
-use crate::bell::Bell;
+use crate::notify::Notify;
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
@@ -12,13 +12,13 @@
 const FREE: usize = 16;
 
 /// All connections. Those that wait for a request of their peer rest; only these are asked to leave.
-pub(crate) struct Crowd {
+pub(crate) struct Pool {
     open: Cell<usize>,
     most: usize,
     next: Cell<u64>,
     /// By when they began to rest, the longest first.
     resting: RefCell<BTreeMap<u64, Resting>>,
-    room: Bell,
+    room: Notify,
     /// Told of each that closes, once somebody waits for the last one.
     closed: RefCell<Option<Sender<()>>>,
 }
@@ -28,15 +28,15 @@
     leave: Sender<()>,
 }
 
-impl Crowd {
-    pub fn new(most: usize) -> Crowd {
+impl Pool {
+    pub fn new(most: usize) -> Pool {
         let most = most.max(1);
-        Crowd {
+        Pool {
             open: Cell::new(0),
             most,
             next: Cell::new(0),
             resting: RefCell::default(),
-            room: Bell::new(),
+            room: Notify::new(),
             closed: RefCell::default(),
         }
     }
@@ -67,24 +67,24 @@
 
     /// Waits until a place was given back.
     pub async fn room(&self) {
-        self.room.rung().await;
+        self.room.notified().await;
     }
 }
 
-/// One connection's place; given back when it is dropped.
-pub(crate) struct Place {
-    crowd: Rc<Crowd>,
+/// One connection's permit; given back when it is dropped.
+pub(crate) struct Permit {
+    pool: Rc<Pool>,
     asked: Cell<bool>,
     leave: Sender<()>,
     told: Receiver<()>,
 }
 
-impl Place {
-    pub fn take(crowd: &Rc<Crowd>) -> Option<Place> {
-        (crowd.open.get() < crowd.most).then(|| {
-            crowd.open.set(crowd.open.get() + 1);
+impl Permit {
+    pub fn take(pool: &Rc<Pool>) -> Option<Permit> {
+        (pool.open.get() < pool.most).then(|| {
+            pool.open.set(pool.open.get() + 1);
             let (leave, told) = async_channel::bounded(1);
-            Place { crowd: crowd.clone(), asked: Cell::new(false), leave, told }
+            Permit { pool: pool.clone(), asked: Cell::new(false), leave, told }
         })
     }
 
@@ -101,12 +101,12 @@
     pub async fn rest<T>(&self, work: impl Future<Output = T>) -> Option<T> {
         // What was told while it did not rest any more is void.
         let _ = self.told.try_recv();
-        let crowd = &self.crowd;
-        let number = crowd.next.get();
-        crowd.next.set(number + 1);
+        let pool = &self.pool;
+        let number = pool.next.get();
+        pool.next.set(number + 1);
         let resting = Resting { asked: self.asked.get(), leave: self.leave.clone() };
-        crowd.resting.borrow_mut().insert(number, resting);
-        let _rest = Rest(crowd, number);
+        pool.resting.borrow_mut().insert(number, resting);
+        let _rest = Rest(pool, number);
         let told = async {
             let _ = self.told.recv().await;
             None
@@ -115,7 +115,7 @@
     }
 }
 
-struct Rest<'a>(&'a Crowd, u64);
+struct Rest<'a>(&'a Pool, u64);
 
 impl Drop for Rest<'_> {
     fn drop(&mut self) {
@@ -123,11 +123,11 @@
     }
 }
 
-impl Drop for Place {
+impl Drop for Permit {
     fn drop(&mut self) {
-        self.crowd.open.set(self.crowd.open.get() - 1);
-        self.crowd.room.ring();
-        if let Some(closed) = &*self.crowd.closed.borrow() {
+        self.pool.open.set(self.pool.open.get() - 1);
+        self.pool.room.notify();
+        if let Some(closed) = &*self.pool.closed.borrow() {
             let _ = closed.try_send(());
         }
     }
--- a/crates/heathspurd/src/reply.rs
+++ b/crates/heathspurd/src/response.rs
@@ -3,16 +3,16 @@
 use crate::front::{Answer, Desk};
 use bytes::Bytes;
 
-/// An answer in words.
-pub(crate) struct Words {
+/// What an answer says.
+pub(crate) struct Response {
     pub status: u16,
     pub fields: Vec<(&'static str, f64)>,
     pub body: Bytes,
 }
 
-impl Words {
+impl Response {
     /// Those of a request's final answer.
-    pub fn of(answer: &Answer, desk: &Desk) -> Words {
+    pub fn of(answer: &Answer, desk: &Desk) -> Response {
         let mut fields = free_value(desk);
         let (status, body) = match answer {
             Answer::Served(body) => (200, body.clone()),
@@ -30,13 +30,13 @@
             Answer::Conflict => (409, Bytes::new()),
             Answer::KeyReused => (422, Bytes::new()),
         };
-        Words { status, fields, body }
+        Response { status, fields, body }
     }
 
     /// Those of a health check.
-    pub fn of_health(desk: &Desk) -> Words {
+    pub fn of_health(desk: &Desk) -> Response {
         let status = if desk.good.get() { 200 } else { 503 };
-        Words { status, fields: free_value(desk), body: Bytes::new() }
+        Response { status, fields: free_value(desk), body: Bytes::new() }
     }
 }
 
--- a/crates/heathspurd/src/route.rs
+++ b/crates/heathspurd/src/route.rs
@@ -36,7 +36,7 @@
             Action::Reuse(id) => self.reuse(id),
             Action::Health { good, .. } => {
                 self.desk.good.set(good);
-                self.report.set(good);
+                self.readiness.set(good);
             }
             Action::Say(value) => self.desk.free_value.set(Some(value)),
             Action::CloseIdle(after) => {
--- a/crates/heathspurd/src/serve.rs
+++ b/crates/heathspurd/src/serve.rs
@@ -4,24 +4,24 @@
 use crate::announce;
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::crowd::Crowd;
 use crate::failover::Ways;
 use crate::front::{Desk, Front};
 use crate::http1;
 use crate::http2;
-use crate::inbox::News;
+use crate::inbox::OwnerEvent;
 use crate::intake::Intake;
 use crate::interpreter;
 use crate::keys::Keys;
 use crate::link::Target;
 use crate::members::Handle;
 use crate::owner::{LinkState, Owner, Targets};
+use crate::pool::Pool;
 use crate::room::Room;
 use crate::signals;
 use crate::store;
 use crate::table::Table;
 use crate::tape::Tap;
-use crate::work::{NEWS, PRUNE};
+use crate::work::{EVENTS, PRUNE};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -47,10 +47,10 @@
 const KEYS: usize = 16 * 1024;
 const RESULTS_PART: usize = 4;
 
-/// Hands on what comes in one queue as news, in order.
-async fn hand_on<T: Into<News>>(from: Receiver<T>, news: Sender<News>) {
+/// Hands on what comes in one queue to the owner, in order.
+async fn hand_on<T: Into<OwnerEvent>>(from: Receiver<T>, to_owner: Sender<OwnerEvent>) {
     while let Ok(item) = from.recv().await {
-        if news.send(item.into()).await.is_err() {
+        if to_owner.send(item.into()).await.is_err() {
             return;
         }
     }
@@ -79,7 +79,7 @@
     tap: Option<Rc<Tap>>,
     peers: Peers,
 ) -> io::Result<()> {
-    let (news, new_news) = async_channel::bounded(NEWS);
+    let (to_owner, inbox) = async_channel::bounded(EVENTS);
     let (shutter, shutting) = async_channel::bounded(1);
     let (closed, closings) = async_channel::bounded(1);
     let settings = config.settings.clone();
@@ -93,24 +93,24 @@
         settings.idle,
         shutting,
         tap.clone(),
-        Rc::new(Crowd::new(config.sockets.saturating_sub(SPARE + config.sockets / CALLS_PART))),
+        Rc::new(Pool::new(config.sockets.saturating_sub(SPARE + config.sockets / CALLS_PART))),
         room.clone(),
     ));
     let interpreter = interpreter::Link::new();
     let places = config.sockets / CALLS_PART;
     let store = {
         let routes = peers.ways.map(Ways::routes);
-        store::Link::new(executor.clone(), config.store, places, news.clone(), tap.clone(), routes)
+        store::Link::new(executor.clone(), config.store, places, to_owner.clone(), tap.clone(), routes)
     };
     let targets =
         Targets { vm: Rc::new(Target::new(config.vm)), announce: Rc::new(Target::new(config.announce)) };
-    let report = announce::Report::new();
+    let readiness = announce::Readiness::new();
     let mut queues = Vec::new();
     let mut front = || {
         let ((requests, queue), (gone, going)) =
             (async_channel::bounded(REQUESTS), async_channel::bounded(GONE));
         queues.push(queue);
-        executor.spawn(hand_on(going, news.clone())).detach();
+        executor.spawn(hand_on(going, to_owner.clone())).detach();
         Front { desk: desk.clone(), requests, gone }
     };
     let address = listeners.http1.local_addr()?;
@@ -123,16 +123,18 @@
         let spoken = http2::serve(executor.clone(), front(), bounds, room);
         executor.spawn(accept(Async::new(listener)?, desk.clone(), spoken)).detach();
     }
-    executor.spawn(interpreter::keep(targets.vm.clone(), interpreter.clone(), news.clone(), tap)).detach();
-    executor.spawn(announce::keep(targets.announce.clone(), config.name.clone(), report.clone())).detach();
-    executor.spawn(hand_on(closings, news.clone())).detach();
-    executor.spawn(signals::hear(notice, config.clone(), news)).detach();
+    executor
+        .spawn(interpreter::keep(targets.vm.clone(), interpreter.clone(), to_owner.clone(), tap))
+        .detach();
+    executor.spawn(announce::keep(targets.announce.clone(), config.name.clone(), readiness.clone())).detach();
+    executor.spawn(hand_on(closings, to_owner.clone())).detach();
+    executor.spawn(signals::hear(notice, config.clone(), to_owner)).detach();
     let clock = Clock::start();
     let late = settings.classes.iter().map(|c| c.give_up).max().unwrap_or_default();
     let owner = Owner {
         settings,
         desk,
-        report,
+        readiness,
         interpreter,
         targets,
         link: LinkState::Down,
@@ -156,6 +158,6 @@
         shutter,
         closed,
     };
-    owner.work(Intake::new(queues), new_news).await;
+    owner.work(Intake::new(queues), inbox).await;
     Ok(())
 }
--- a/crates/heathspurd/src/signals.rs
+++ b/crates/heathspurd/src/signals.rs
@@ -1,7 +1,7 @@
 //! SIGTERM is the notice to drain, SIGHUP that the configuration was replaced.
 
 use crate::config::Config;
-use crate::inbox::News;
+use crate::inbox::OwnerEvent;
 use async_channel::Sender;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
@@ -21,7 +21,7 @@
 }
 
 /// Hears the notices to drain and to read the configuration again.
-pub(crate) async fn hear(mut notice: Signals, started: Config, news: Sender<News>) {
+pub(crate) async fn hear(mut notice: Signals, started: Config, inbox: Sender<OwnerEvent>) {
     while let Some(Ok(signal)) = notice.next().await {
         let item = match (signal, &started.file) {
             (Signal::Hup, Some(file)) => match read_again(file).await {
@@ -29,14 +29,14 @@
                     if started.differs(&config) {
                         warn!("only the peers' addresses are taken from the new configuration; it differs in more");
                     }
-                    News::Reload(Box::new(config))
+                    OwnerEvent::Reload(Box::new(config))
                 }
                 None => continue,
             },
             (Signal::Hup, None) => continue,
-            _ => News::Drain,
+            _ => OwnerEvent::Drain,
         };
-        if news.send(item).await.is_err() {
+        if inbox.send(item).await.is_err() {
             return;
         }
     }
--- a/crates/heathspurd/src/store.rs
+++ b/crates/heathspurd/src/store.rs
@@ -41,7 +41,7 @@
 
 /// What the link tells the owner: how a call ended, with the reply where it went well.
 #[derive(Debug)]
-pub(crate) struct News {
+pub(crate) struct Event {
     pub id: RequestId,
     pub call: CallId,
     pub outcome: Outcome,
@@ -85,19 +85,19 @@
     open: RefCell<HashMap<CallId, Open>>,
     give_back: Sender<()>,
     places: Receiver<()>,
-    news: Sender<N>,
+    events: Sender<N>,
     tap: Option<Rc<Tap>>,
     /// Where calls go by zones; else all to the one address.
     routes: Option<Rc<Routes>>,
 }
 
-impl<N: From<News> + 'static> Link<N> {
+impl<N: From<Event> + 'static> Link<N> {
     /// A link that holds so many connections at most.
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         address: Option<SocketAddr>,
         most: usize,
-        news: Sender<N>,
+        events: Sender<N>,
         tap: Option<Rc<Tap>>,
         routes: Option<Rc<Routes>>,
     ) -> Rc<Link<N>> {
@@ -110,7 +110,7 @@
             open: RefCell::default(),
             give_back,
             places,
-            news,
+            events,
             tap,
             routes,
         })
@@ -143,7 +143,7 @@
                 open.task.detach();
             }
             // It fails once the server has ended.
-            let _ = link.news.send(News { id, call: number, outcome, body }.into()).await;
+            let _ = link.events.send(Event { id, call: number, outcome, body }.into()).await;
         });
         let way = way.flatten();
         self.open.borrow_mut().insert(number, Open { task, written, way });
@@ -258,7 +258,7 @@
     loop {
         while let Some(reply) = wire::read(line.inflow.bytes()).map_err(|e| e.to_string())? {
             let bytes = line.inflow.bytes();
-            // A reply to anything else is no news, but a sign that the connection is not to be trusted.
+            // A reply to anything else is no answer, but a sign that the connection is not to be trusted.
             let ours = bytes[reply.id.clone()] == *call.txn.as_str().as_bytes();
             let body = Bytes::copy_from_slice(&bytes[reply.body.clone()]);
             line.inflow.use_up(reply.end);
--- a/crates/heathspurd/src/work.rs
+++ b/crates/heathspurd/src/work.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::config::Config;
 use crate::front::Arrival;
-use crate::inbox::News;
+use crate::inbox::OwnerEvent;
 use crate::intake::Intake;
 use crate::owner::{Due, LinkState, Owner};
 use crate::table::Work;
@@ -16,9 +16,9 @@
 use std::time::Duration;
 use tracing::info;
 
-/// Requests, and news of other kinds, that are taken in at once.
+/// Requests, and events of other kinds, that are taken in at once.
 const REQUESTS_AT_ONCE: usize = 64;
-pub(crate) const NEWS: usize = 1024;
+pub(crate) const EVENTS: usize = 1024;
 /// A timer of the module waits so long for the gauges.
 const GAUGES: Span = Span(10_000);
 pub(crate) const PRUNE: Span = Span(1_000_000);
@@ -29,27 +29,27 @@
 /// What wakes the owner.
 enum Woken {
     Request(Arrival),
-    News(News),
+    Event(OwnerEvent),
     Time,
 }
 
 impl Owner {
-    pub(crate) async fn work(mut self, mut requests: Intake<Arrival>, news: Receiver<News>) {
+    pub(crate) async fn work(mut self, mut requests: Intake<Arrival>, inbox: Receiver<OwnerEvent>) {
         let mut actions = Vec::new();
         loop {
-            let woken = self.wait(&mut requests, &news).await;
+            let woken = self.wait(&mut requests, &inbox).await;
             // What has arrived comes before a timer that is late: let it be read first.
             future::yield_now().await;
             self.now = self.clock.now();
             match woken {
                 Woken::Request(arrival) => self.take_request(arrival),
-                Woken::News(item) => self.take_news(item),
+                Woken::Event(item) => self.take_event(item),
                 Woken::Time => {}
             }
-            // News before requests: results, gauges and notices are few and must not wait behind a flood.
-            for _ in 0..NEWS {
-                let Ok(item) = news.try_recv() else { break };
-                self.take_news(item);
+            // Events before requests: results, gauges and notices are few and must not wait behind a flood.
+            for _ in 0..EVENTS {
+                let Ok(item) = inbox.try_recv() else { break };
+                self.take_event(item);
             }
             for _ in 0..REQUESTS_AT_ONCE {
                 let Some(arrival) = requests.try_next() else { break };
@@ -63,14 +63,14 @@
         }
     }
 
-    async fn wait(&self, requests: &mut Intake<Arrival>, news: &Receiver<News>) -> Woken {
+    async fn wait(&self, requests: &mut Intake<Arrival>, inbox: &Receiver<OwnerEvent>) -> Woken {
         if !self.events.is_empty() {
             return Woken::Time;
         }
         let request = async { Woken::Request(requests.next().await) };
         let item = async {
-            match news.recv().await {
-                Ok(item) => Woken::News(item),
+            match inbox.recv().await {
+                Ok(item) => Woken::Event(item),
                 Err(_) => future::pending().await,
             }
         };
@@ -134,14 +134,14 @@
         self.admit(arrival);
     }
 
-    fn take_news(&mut self, news: News) {
-        match news {
-            News::Gone(id) => self.gone(id),
-            News::Closed => {}
-            News::Interpreter(heard) => self.hear(heard),
-            News::Store(called) => self.called(called),
-            News::Drain => self.leave(),
-            News::Reload(config) => self.move_to(&config),
+    fn take_event(&mut self, event: OwnerEvent) {
+        match event {
+            OwnerEvent::Gone(id) => self.gone(id),
+            OwnerEvent::Closed => {}
+            OwnerEvent::Interpreter(heard) => self.hear(heard),
+            OwnerEvent::Store(called) => self.called(called),
+            OwnerEvent::Drain => self.leave(),
+            OwnerEvent::Reload(config) => self.move_to(&config),
         }
     }
 
@@ -201,8 +201,8 @@
             members.leave();
         }
         self.desk.leaving.set(true);
-        self.desk.let_go.set(Some(self.clock.instant(self.now + span(stop.saturating_sub(LEAVE)))));
-        self.desk.crowd.tell_closed(self.closed.clone());
+        self.desk.release_at.set(Some(self.clock.instant(self.now + span(stop.saturating_sub(LEAVE)))));
+        self.desk.pool.tell_closed(self.closed.clone());
         self.events.push(Event::Drain(span(stop)));
     }
 
@@ -213,6 +213,6 @@
             self.shutter.close();
         }
         let owed = || self.table.find(|entry| entry.reply.is_some()).len();
-        self.desk.shutting.is_closed() && (self.desk.crowd.open() == 0 && owed() == 0 || self.now >= end)
+        self.desk.shutting.is_closed() && (self.desk.pool.open() == 0 && owed() == 0 || self.now >= end)
     }
 }
--- a/crates/heathspurd/tests/unit/store.rs
+++ b/crates/heathspurd/tests/unit/store.rs
@@ -8,8 +8,8 @@
 fn a_call_that_was_never_written_is_proven_not_to_have_run() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let executor = Rc::new(LocalExecutor::new());
-    let (news, _heard) = async_channel::bounded::<News>(4);
-    let link = Link::new(executor.clone(), Some(listener.local_addr().unwrap()), 4, news, None, None);
+    let (events, _heard) = async_channel::bounded::<Event>(4);
+    let link = Link::new(executor.clone(), Some(listener.local_addr().unwrap()), 4, events, None, None);
     let txn = Txn::read(b"9b1f03aa5c7e2d41").unwrap();
     let call =
         |n| Call { id: RequestId(1), call: CallId(n), txn, limit_ms: 250, body: Bytes::new(), fresh: false };
