Close connections by lingering, look once more before it, and answer behind a full pool

Ruled out: a request whole in the kernel on a resting connection that idles out or is asked to leave was read first in all plays on the old code.

--- a/crates/heathspur-rig/src/scripted.rs
+++ b/crates/heathspur-rig/src/scripted.rs
@@ -324,6 +324,27 @@
         rest
     }
 
+    /// From now on each run ends well at once, until the server ends the link: the tasks that were started then.
+    pub fn complete_all(mut self) -> thread::JoinHandle<Vec<String>> {
+        thread::spawn(move || {
+            let (mut started, mut line) = (Vec::new(), String::new());
+            while matches!(self.reader.read_line(&mut line), Ok(n) if n > 0) {
+                let command: Value = serde_json::from_str(&line).unwrap();
+                let task = command["task"].as_str().unwrap_or_default().to_string();
+                match command["verb"].as_str() {
+                    Some("APPLY") => {
+                        self.value(&task, "complete", b"done");
+                        started.push(task);
+                    }
+                    Some("BREAK") => self.value(&task, "cancelled", b""),
+                    _ => {}
+                }
+                line.clear();
+            }
+            started
+        })
+    }
+
     /// Answers questions for gauges until the server has asked so many.
     pub fn tops(&mut self, count: usize) {
         for _ in 0..count {
@@ -358,6 +379,52 @@
     }
 }
 
+/// The store's end of a connection.
+pub struct Store(TcpStream);
+
+impl Store {
+    /// The other side closes with nothing more to say.
+    pub fn closed(&mut self) {
+        assert_eq!(self.0.read(&mut [0]).unwrap(), 0);
+    }
+
+    /// A good reply to a request's call.
+    pub fn ok(&mut self, txn: u64, body: &str) {
+        self.say(format!("{txn:016x} OK {}\r\n{body}\r\n", body.len()).as_bytes());
+    }
+
+    pub fn accept(rig: &Rig) -> Store {
+        Store(accept(&rig.store))
+    }
+
+    pub fn say(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).unwrap();
+    }
+
+    fn line(&mut self) -> String {
+        let mut line = Vec::new();
+        while !line.ends_with(b"\r\n") {
+            let mut byte = [0];
+            self.0.read_exact(&mut byte).unwrap();
+            line.push(byte[0]);
+        }
+        String::from_utf8(line).unwrap().trim_end().to_string()
+    }
+
+    /// The next call: its id and body.
+    pub fn call(&mut self) -> (String, Vec<u8>) {
+        let line = self.line();
+        let words: Vec<_> = line.split(' ').collect();
+        assert_eq!(words[0], "CALL", "{line}");
+        assert!(words[2].parse::<u64>().unwrap() > 0);
+        let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+        self.0.read_exact(&mut body).unwrap();
+        assert!(body.ends_with(b"\r\n"));
+        body.truncate(body.len() - 2);
+        (words[1].to_string(), body)
+    }
+}
+
 /// A balancer's connection.
 pub struct Client(BufReader<TcpStream>);
 
@@ -399,6 +466,11 @@
         (status, fields, body)
     }
 
+    /// Bytes that are there without taking them; none once the other side has shut its own.
+    pub fn peek(&mut self, bytes: &mut [u8]) -> usize {
+        self.0.get_mut().peek(bytes).unwrap()
+    }
+
     /// The other side closes with nothing more to say.
     pub fn closed(&mut self) {
         let mut rest = Vec::new();
--- a/crates/heathspurd/src/accept.rs
+++ b/crates/heathspurd/src/accept.rs
@@ -5,6 +5,7 @@
 use crate::tape::Stream;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,28 +14,18 @@
 /// Time to wait for room or descriptors before accepting again.
 const BACK_OFF: Duration = Duration::from_millis(20);
 
-/// Accepts connections while there is room for them and has each served; ends with the socket once no new
-/// request is taken.
+/// Accepts connections while there are permits and has each served; ends with the socket once no new request is
+/// taken.
 pub(crate) async fn accept(listener: Async<TcpListener>, desk: Rc<Desk>, serve: impl Fn(Stream, Permit)) {
     while !desk.shutting.is_closed() {
-        desk.pool.make_room();
-        let Some(permit) = Permit::take(&desk.pool) else {
-            let pause = async {
-                Timer::after(BACK_OFF).await;
-            };
-            future::or(desk.pool.room(), pause).await;
-            continue;
-        };
+        let Some(permit) = permit(&desk).await else { continue };
         let shut = async {
             desk.shut().await;
             None
         };
         match future::or(async { Some(listener.accept().await) }, shut).await {
             None => {}
-            Some(Ok((stream, _))) => {
-                let stream = Stream::accepted(stream, desk.tap.as_ref());
-                serve(stream, permit);
-            }
+            Some(Ok((stream, _))) => serve(Stream::accepted(stream, desk.tap.as_ref()), permit),
             Some(Err(e)) => {
                 error!(error = %e, "cannot accept a connection: {e}");
                 drop(permit);
@@ -42,11 +33,34 @@
             }
         }
     }
-    // What the machine has accepted already is served still.
-    while let (Some(permit), Ok((stream, _))) = (Permit::take(&desk.pool), listener.get_ref().accept()) {
-        if let Ok(stream) = Async::new(stream) {
-            let stream = Stream::accepted(stream, desk.tap.as_ref());
-            serve(stream, permit);
+    // What the machine has accepted already is served still, as permits come back: the socket's end resets what it
+    // finds there, and a request in it would be lost.
+    while !desk.is_released() {
+        let Some(permit) = permit(&desk).await else { continue };
+        match listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) {
+            Ok(stream) => serve(Stream::accepted(stream, desk.tap.as_ref()), permit),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+            Err(e) => {
+                error!(error = %e, "cannot accept a connection: {e}");
+                Timer::after(BACK_OFF).await;
+            }
         }
     }
 }
+
+/// A permit for the next connection; none when it has to be asked for again.
+async fn permit(desk: &Desk) -> Option<Permit> {
+    if desk.pool.is_scarce() {
+        // Those accepted last are known as idle once they had a turn; without it, older ones leave in their place.
+        future::yield_now().await;
+        desk.pool.make_room();
+    }
+    let permit = Permit::take(&desk.pool);
+    if permit.is_none() {
+        let pause = async {
+            Timer::after(BACK_OFF).await;
+        };
+        future::or(desk.pool.freed(), pause).await;
+    }
+    permit
+}
--- a/crates/heathspurd/src/http1/answer.rs
+++ b/crates/heathspurd/src/http1/answer.rs
@@ -2,19 +2,16 @@
 
 use crate::clock::within;
 use crate::front::Desk;
+use crate::linger;
 use crate::response::Response;
 use crate::room::Room;
 use crate::tape::Stream;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncWriteExt};
 use heathspur_wire::http::{self, Last};
 use std::io;
-use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// What is turned away is read off for so long, and so far, before its connection is closed.
-const LINGER: Duration = Duration::from_secs(1);
-const LINGER_BYTES: usize = 16 << 20;
 /// A peer that takes none of its answer for so long is left.
 const SLOW: Duration = Duration::from_secs(10);
 
@@ -23,8 +20,8 @@
     let mut out = Vec::with_capacity(256 + response.body.len());
     http::write_answer(&mut out, response.status, &response.fields, last, &response.body);
     match &desk.room {
-        None => put(stream, &out).await,
-        Some(room) => put_in_room(stream, room, &out).await,
+        None => write_all(stream, &out).await,
+        Some(room) => write_within(stream, room, &out).await,
     }
 }
 
@@ -33,31 +30,17 @@
     let mut out = Vec::new();
     http::write_answer(&mut out, status, &[], Last::Yes, b"");
     // The connection ends either way.
-    let _ = put(stream, &out).await;
-    let _ = within(LINGER, linger(stream)).await;
+    let _ = write_all(stream, &out).await;
+    linger::close(stream).await;
 }
 
-/// Reads off what the other side still sends. Closing on unread bytes would reset the connection, and the
-/// answer could be lost with it.
-async fn linger(mut stream: &Stream) -> io::Result<()> {
-    stream.get_ref().shutdown(Shutdown::Write)?;
-    let (mut chunk, mut left) = (vec![0; 8 * 1024], LINGER_BYTES);
-    while left > 0 {
-        match stream.read(&mut chunk).await? {
-            0 => break,
-            n => left = left.saturating_sub(n),
-        }
-    }
-    Ok(())
-}
-
-async fn put(mut stream: &Stream, out: &[u8]) -> io::Result<()> {
+async fn write_all(mut stream: &Stream, out: &[u8]) -> io::Result<()> {
     within(SLOW, stream.write_all(out)).await
 }
 
 /// The same under a budget of memory that other fronts share: what a slow reader leaves lying is held in it, and
 /// given up with the connection when others need the room.
-async fn put_in_room(mut stream: &Stream, room: &Rc<Room>, out: &[u8]) -> io::Result<()> {
+async fn write_within(mut stream: &Stream, room: &Rc<Room>, out: &[u8]) -> io::Result<()> {
     let written = match future::poll_once(stream.write(out)).await {
         Some(written) => written?,
         None => 0,
@@ -70,5 +53,5 @@
         held.crowded().await;
         Err(io::ErrorKind::TimedOut.into())
     };
-    future::or(put(stream, &out[written..]), crowded).await
+    future::or(write_all(stream, &out[written..]), crowded).await
 }
--- a/crates/heathspurd/src/http1/mod.rs
+++ b/crates/heathspurd/src/http1/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 
 use crate::front::{Answer, Arrival, Front};
+use crate::linger;
 use crate::pool::Permit;
 use crate::request::{Asked, Draft};
 use crate::response::Response;
@@ -28,8 +29,10 @@
 const LOOK: Duration = Duration::from_millis(500);
 /// Why a connection's next request is none.
 enum Ended {
-    /// The other side closed it, it failed, or it was idle for too long.
+    /// The other side closed it, or it failed.
     Closed,
+    /// It was idle for too long, or nothing new is taken: ours to close.
+    Idle,
     /// What came can't be taken; the status says why.
     Bad(u16),
 }
@@ -48,63 +51,86 @@
 
 /// Serves one connection to its end.
 async fn connection(stream: Stream, front: Rc<Front>, permit: Permit) {
-    if stream.get_ref().set_nodelay(true).is_err() {
-        return;
-    }
-    let mut buffer = BytesMut::new();
-    let mut reader = Reader::new(LIMITS);
+    // It fails on a connection that is gone, which the first read tells.
+    let _ = stream.get_ref().set_nodelay(true);
+    let (mut buffer, mut reader) = (BytesMut::new(), Reader::new(LIMITS));
     loop {
-        let fresh = !permit.asked();
-        let message = match permit.rest(next(&stream, &front, &mut buffer, &mut reader, fresh)).await {
-            Some(Ok(message)) => message,
-            None | Some(Err(Ended::Closed)) => return,
-            Some(Err(Ended::Bad(status))) => return reject(&stream, &permit, status).await,
-        };
-        let close = http::says_close(Fields::over(&buffer[message.fields.clone()]));
-        let whole = buffer.split_to(message.body.end).freeze();
-        let mut last = if close { Last::Yes } else { Last::No };
-        let asked = understand(&whole, &message, &front);
-        if !matches!(asked, Read::Bad(_)) {
-            permit.has_asked();
-        }
-        let answered = match asked {
-            Read::Health => {
-                answer::write(&stream, &front.desk, &Response::of_health(&front.desk), last).await
-            }
-            Read::Bad(status) => return reject(&stream, &permit, status).await,
-            Read::Request(arrival, answers) => {
-                let id = arrival.id;
-                drop(whole);
-                if front.requests.send(*arrival).await.is_err() {
-                    return;
-                }
-                match wait(&stream, &mut buffer, &answers).await {
-                    Some(given) => {
-                        // What was read behind it is owed an answer too, which is the last then.
-                        if front.desk.leaving.get() && buffer.is_empty() {
-                            last = Last::Yes;
-                        }
-                        answer::write(&stream, &front.desk, &Response::of(&given, &front.desk), last).await
-                    }
-                    None => {
-                        answers.close();
-                        // The owner outlives all connections, or nothing is owed any more.
-                        let _ = front.gone.send(id).await;
-                        return;
-                    }
+        let ended = match permit.idle(next(&stream, &front, &permit, &mut buffer, &mut reader)).await {
+            Some(Ok(message)) => {
+                let close = http::says_close(Fields::over(&buffer[message.fields.clone()]));
+                let whole = buffer.split_to(message.body.end).freeze();
+                match respond(&stream, &front, &permit, &mut buffer, whole, &message, close).await {
+                    Ok(Last::No) => continue,
+                    Ok(Last::Yes) => Ended::Idle,
+                    Err(ended) => ended,
                 }
             }
+            Some(Err(Ended::Idle)) => match look(&stream, &mut buffer).await {
+                Some(Ok(1..)) => continue,
+                Some(_) => Ended::Closed,
+                None => Ended::Idle,
+            },
+            // Its permit is needed, but for one of whose next request something has come meanwhile. What is whole
+            // by now is a request that this server has; a part is none.
+            None => match (buffer.is_empty(), look(&stream, &mut buffer).await) {
+                (_, Some(Ok(0) | Err(_))) => Ended::Closed,
+                (true, Some(_)) => continue,
+                (true, None) => Ended::Idle,
+                (false, _) if matches!(reader.read(&buffer), Ok(Some(_))) => continue,
+                (false, _) => Ended::Bad(408),
+            },
+            Some(Err(ended)) => ended,
+        };
+        return match ended {
+            Ended::Closed => {}
+            Ended::Idle => permit.linger(linger::close(&stream)).await,
+            Ended::Bad(status) => permit.linger(answer::reject(&stream, status)).await,
         };
-        if answered.is_err() || last == Last::Yes {
-            return;
-        }
     }
 }
 
-/// Answers what can't be taken; its place is free for others at once.
-async fn reject(stream: &Stream, permit: &Permit, status: u16) {
-    // It ends either way.
-    let _ = permit.rest(answer::reject(stream, status)).await;
+/// Has a whole message answered; says whether the answer was the connection's last.
+async fn respond(
+    stream: &Stream,
+    front: &Front,
+    permit: &Permit,
+    buffer: &mut BytesMut,
+    whole: Bytes,
+    message: &Message,
+    close: bool,
+) -> Result<Last, Ended> {
+    let desk = &front.desk;
+    let mut last = if close { Last::Yes } else { Last::No };
+    let asked = understand(&whole, message, front);
+    drop(whole);
+    let response = match asked {
+        Read::Bad(status) => return Err(Ended::Bad(status)),
+        Read::Health => {
+            permit.heard();
+            Response::of_health(desk)
+        }
+        Read::Request(arrival, answers) => {
+            permit.heard();
+            let id = arrival.id;
+            // The owner outlives all connections, or nothing is owed any more.
+            front.requests.send(*arrival).await.map_err(|_| Ended::Closed)?;
+            let Some(given) = wait(stream, buffer, &answers).await else {
+                answers.close();
+                let _ = front.gone.send(id).await;
+                return Err(Ended::Closed);
+            };
+            if desk.leaving.get() && buffer.is_empty() {
+                // What came behind it is owed an answer too, which is the last then.
+                last = match look(stream, buffer).await {
+                    Some(Ok(1..)) => last,
+                    _ => Last::Yes,
+                };
+            }
+            Response::of(&given, desk)
+        }
+    };
+    answer::write(stream, desk, &response, last).await.map_err(|_| Ended::Closed)?;
+    Ok(last)
 }
 
 /// Waits for the answer while it watches the connection; none once the caller is gone.
@@ -129,9 +155,9 @@
 async fn next(
     stream: &Stream,
     front: &Front,
+    permit: &Permit,
     buffer: &mut BytesMut,
     reader: &mut Reader,
-    fresh: bool,
 ) -> Result<Message, Ended> {
     let mut since = Instant::now();
     loop {
@@ -143,13 +169,16 @@
             return Ok(message);
         }
         let begun = !buffer.is_empty();
+        if begun {
+            permit.begun();
+        }
         let left = match begun {
             true => WHOLE.checked_sub(since.elapsed()).ok_or(Ended::Bad(408))?,
-            false if front.desk.shutting.is_closed() => return Err(Ended::Closed),
+            false if front.desk.shutting.is_closed() => return Err(Ended::Idle),
             false => {
                 let idle = Duration::from_micros(front.desk.idle.get().0);
-                let idle = if fresh { idle.min(WHOLE) } else { idle };
-                idle.checked_sub(since.elapsed()).ok_or(Ended::Closed)?.min(LOOK)
+                let idle = if permit.was_heard() { idle } else { idle.min(WHOLE) };
+                idle.checked_sub(since.elapsed()).ok_or(Ended::Idle)?.min(LOOK)
             }
         };
         let late = async {
@@ -172,13 +201,23 @@
     }
 }
 
-/// Appends what has come.
-async fn read(mut stream: &Stream, buffer: &mut BytesMut) -> io::Result<usize> {
-    stream.readable().await?;
+/// Waits for bytes and appends them.
+async fn read(stream: &Stream, buffer: &mut BytesMut) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        if let Some(read) = look(stream, buffer).await {
+            return read;
+        }
+    }
+}
+
+/// Appends what has come already; none where nothing has. It never waits, so nothing can break it off half-way
+/// and leave bytes in the buffer that nobody sent.
+async fn look(mut stream: &Stream, buffer: &mut BytesMut) -> Option<io::Result<usize>> {
     let held = buffer.len();
     buffer.resize(held + CHUNK, 0);
-    let read = stream.read(&mut buffer[held..]).await;
-    buffer.truncate(held + read.as_ref().map_or(0, |n| *n));
+    let read = future::poll_once(stream.read(&mut buffer[held..])).await;
+    buffer.truncate(held + read.as_ref().map_or(0, |read| *read.as_ref().unwrap_or(&0)));
     read
 }
 
--- a/crates/heathspurd/src/http2/mod.rs
+++ b/crates/heathspurd/src/http2/mod.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::within;
 use crate::front::Front;
+use crate::linger;
 use crate::pool::Permit;
 use crate::room::Room;
 use crate::tape::Stream;
@@ -26,7 +27,6 @@
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
-use std::net::Shutdown;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -37,9 +37,6 @@
 const PREFACE: &[u8; 24] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 /// The longest sleep of a connection before it looks at settings and clocks again.
 const LOOK: Duration = Duration::from_millis(500);
-/// What comes after the end is read off for so long, and so far, before the connection is closed.
-const LINGER: Duration = Duration::from_secs(1);
-const LINGER_BYTES: usize = 1 << 20;
 /// A GOAWAY that ends a connection is waited for so long.
 const FAREWELL: Duration = Duration::from_millis(200);
 
@@ -114,11 +111,10 @@
 
 /// Serves one connection to its end.
 async fn connection(stream: Stream, shared: Rc<Shared>, permit: Permit) {
-    if stream.get_ref().set_nodelay(true).is_err() {
-        return;
-    }
+    // It fails on a connection that is gone, which the first read tells.
+    let _ = stream.get_ref().set_nodelay(true);
     let whole = shared.bounds.request.whole.0;
-    let head = match permit.rest(within(whole, preface(&stream))).await {
+    let head = match permit.idle(within(whole, preface(&stream))).await {
         Some(Ok(head)) => head,
         Some(Err(e)) if e.kind() == io::ErrorKind::InvalidData => {
             // Whoever speaks another version is told so in words that it can read.
@@ -126,7 +122,7 @@
             let words = b"This port speaks HTTP/2 by prior knowledge only.\n";
             write_answer(&mut out, 505, &[], Last::Yes, words);
             let _ = within(FAREWELL, (&stream).write_all(&out)).await;
-            let _ = permit.rest(within(LINGER, linger(&stream))).await;
+            permit.linger(linger::close(&stream)).await;
             return;
         }
         None | Some(Err(_)) => return,
@@ -137,7 +133,7 @@
     let _joined = Joined(shared.clone());
     let built = builder(&shared).handshake::<_, Bytes>(wire);
     let made = within(whole, async { built.await.map_err(io::Error::other) });
-    let Some(Ok(mut h2)) = permit.rest(made).await else { return };
+    let Some(Ok(mut h2)) = permit.idle(made).await else { return };
     let conn = Rc::new(Conn {
         holder: shared.room.holder(),
         seen,
@@ -148,7 +144,7 @@
     drive(&mut h2, &conn, &permit).await;
     drop(h2);
     conn.seen.close();
-    let _ = permit.rest(within(LINGER, linger(&stream))).await;
+    permit.linger(linger::close(&stream)).await;
 }
 
 fn builder(shared: &Shared) -> Builder {
@@ -208,14 +204,14 @@
             None => LOOK,
         };
         let woken = if conn.open.get() == 0 {
-            permit.rest(wake(h2, conn, shut, sleep)).await.unwrap_or(Woken::Asked)
+            permit.idle(wake(h2, conn, shut, sleep)).await.unwrap_or(Woken::Asked)
         } else {
             wake(h2, conn, shut, sleep).await
         };
         let mut steps = [Step::None; 3];
         match woken {
             Woken::Stream(asked) => {
-                permit.has_asked();
+                permit.heard();
                 take(*asked, conn, &drain);
                 h2.set_target_window_size(shared.share.borrow().window());
             }
@@ -322,17 +318,3 @@
     };
     let _ = within(FAREWELL, told).await;
 }
-
-/// Reads off what the other side still sends: closing on unread bytes would reset the connection, and the last
-/// frames could be lost with it.
-async fn linger(mut stream: &Stream) -> io::Result<()> {
-    stream.get_ref().shutdown(Shutdown::Write)?;
-    let (mut chunk, mut left) = (vec![0; 8 * 1024], LINGER_BYTES);
-    while left > 0 {
-        match stream.read(&mut chunk).await? {
-            0 => break,
-            count => left = left.saturating_sub(count),
-        }
-    }
-    Ok(())
-}
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -22,6 +22,7 @@
 mod intake;
 mod interpreter;
 mod keys;
+mod linger;
 mod link;
 mod log;
 mod members;
--- a/crates/heathspurd/src/pool.rs
+++ b/crates/heathspurd/src/pool.rs
@@ -1,4 +1,4 @@
-//! The connections from balancers: how many there may be, and which one leaves when another needs the room.
+//! The pool of connections from balancers: how many there may be, and which one leaves when another needs its permit.
 
 use crate::notify::Notify;
 use async_channel::{Receiver, Sender};
@@ -7,36 +7,57 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
-/// Places kept free for those that come next.
+/// Permits kept free for those that come next.
 const FREE: usize = 16;
+/// A request of a new peer that is not whole after this is not spared any more: whole ones come in one piece or two.
+const PIECES: Duration = Duration::from_millis(250);
 
-/// All connections. Those that wait for a request of their peer rest; only these are asked to leave.
+/// All connections. Those that wait for a request of their peer are idle; only these are asked to leave.
 pub(crate) struct Pool {
     open: Cell<usize>,
     most: usize,
     next: Cell<u64>,
-    /// By when they began to rest, the longest first.
-    resting: RefCell<BTreeMap<u64, Resting>>,
-    room: Notify,
+    /// By when they became idle, the longest first.
+    idle: RefCell<BTreeMap<u64, Idle>>,
+    /// Those that have shut their side and read off what still comes, the longest first. They end by themselves.
+    lingering: RefCell<BTreeMap<u64, Sender<()>>>,
+    freed: Notify,
     /// Told of each that closes, once somebody waits for the last one.
     closed: RefCell<Option<Sender<()>>>,
 }
 
-struct Resting {
-    asked: bool,
+struct Idle {
+    /// A whole request came before.
+    heard: bool,
+    /// Since when a part of a request is there.
+    begun: Option<Instant>,
     leave: Sender<()>,
 }
 
+impl Idle {
+    /// Who leaves first: who never said anything, then who is slow to say it for the first time, then who rests
+    /// between requests. The last ones are in the midst of a request, and leave only where no permit is left.
+    fn rank(&self) -> u8 {
+        match (self.heard, self.begun) {
+            (false, None) => 0,
+            (false, Some(since)) if since.elapsed() >= PIECES => 1,
+            (true, None) => 2,
+            (_, Some(_)) => 3,
+        }
+    }
+}
+
 impl Pool {
     pub fn new(most: usize) -> Pool {
-        let most = most.max(1);
         Pool {
             open: Cell::new(0),
-            most,
+            most: most.max(1),
             next: Cell::new(0),
-            resting: RefCell::default(),
-            room: Notify::new(),
+            idle: RefCell::default(),
+            lingering: RefCell::default(),
+            freed: Notify::new(),
             closed: RefCell::default(),
         }
     }
@@ -50,31 +71,53 @@
         self.open.get()
     }
 
-    /// Asks one connection to leave where few places are free: the one that has rested longest of those that
-    /// never sent a whole request, else of all.
+    /// Whether few permits are free.
+    pub fn is_scarce(&self) -> bool {
+        self.most - self.open.get() < self.reserve()
+    }
+
+    fn reserve(&self) -> usize {
+        FREE.min(self.most / 4)
+    }
+
+    /// Asks one connection to leave where few permits are free or about to be.
     pub fn make_room(&self) {
-        if self.open.get() + FREE.min(self.most / 4) <= self.most {
+        let (free, leaving) = (self.most - self.open.get(), self.lingering.borrow().len());
+        if free == 0 {
+            if let Some((_, leave)) = self.lingering.borrow_mut().pop_first() {
+                // A full channel says so already.
+                let _ = leave.try_send(());
+            }
+        }
+        if free + leaving >= self.reserve() {
             return;
         }
-        let mut resting = self.resting.borrow_mut();
-        let unheard = resting.iter().find(|(_, r)| !r.asked).map(|(&number, _)| number);
-        let longest = unheard.or_else(|| resting.keys().next().copied());
-        if let Some(leaver) = longest.and_then(|number| resting.remove(&number)) {
-            // A full channel says so already.
+        let mut idle = self.idle.borrow_mut();
+        let first = idle.iter().map(|(&number, idle)| (idle.rank(), number)).min();
+        let first = first.filter(|&(rank, _)| rank < 3 || free + leaving == 0);
+        if let Some(leaver) = first.and_then(|(_, number)| idle.remove(&number)) {
             let _ = leaver.leave.try_send(());
         }
     }
 
-    /// Waits until a place was given back.
-    pub async fn room(&self) {
-        self.room.notified().await;
+    /// Waits until a permit was given back, or is about to be.
+    pub async fn freed(&self) {
+        self.freed.notified().await;
+    }
+
+    fn number(&self) -> u64 {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        number
     }
 }
 
 /// One connection's permit; given back when it is dropped.
 pub(crate) struct Permit {
     pool: Rc<Pool>,
-    asked: Cell<bool>,
+    heard: Cell<bool>,
+    /// Its number among the idle ones.
+    number: Cell<u64>,
     leave: Sender<()>,
     told: Receiver<()>,
 }
@@ -84,29 +127,49 @@
         (pool.open.get() < pool.most).then(|| {
             pool.open.set(pool.open.get() + 1);
             let (leave, told) = async_channel::bounded(1);
-            Permit { pool: pool.clone(), asked: Cell::new(false), leave, told }
+            Permit { pool: pool.clone(), heard: Cell::new(false), number: Cell::new(0), leave, told }
         })
     }
 
     /// Whether a whole request has come on this connection.
-    pub fn asked(&self) -> bool {
-        self.asked.get()
+    pub fn was_heard(&self) -> bool {
+        self.heard.get()
+    }
+
+    pub fn heard(&self) {
+        self.heard.set(true);
+    }
+
+    /// A part of a request has come while it was idle.
+    pub fn begun(&self) {
+        if let Some(idle) = self.pool.idle.borrow_mut().get_mut(&self.number.get()) {
+            idle.begun.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// Does what may be broken off when the permit is needed; none when it was.
+    pub async fn idle<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let number = self.pool.number();
+        self.number.set(number);
+        let idle = Idle { heard: self.heard.get(), begun: None, leave: self.leave.clone() };
+        self.pool.idle.borrow_mut().insert(number, idle);
+        let _entry = Entry(&self.pool.idle, number);
+        self.unless_told(work).await
     }
 
-    pub fn has_asked(&self) {
-        self.asked.set(true);
+    /// Does the last thing that it does, which counts as an end that is near; broken off where nothing else is left.
+    pub async fn linger(&self, work: impl Future<Output = ()>) {
+        let number = self.pool.number();
+        self.pool.lingering.borrow_mut().insert(number, self.leave.clone());
+        // Whoever waits for a permit may take this one.
+        self.pool.freed.notify();
+        let _entry = Entry(&self.pool.lingering, number);
+        self.unless_told(work).await;
     }
 
-    /// Does what may be broken off when the place is needed; none when it was.
-    pub async fn rest<T>(&self, work: impl Future<Output = T>) -> Option<T> {
-        // What was told while it did not rest any more is void.
+    async fn unless_told<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        // What was told before is void.
         let _ = self.told.try_recv();
-        let pool = &self.pool;
-        let number = pool.next.get();
-        pool.next.set(number + 1);
-        let resting = Resting { asked: self.asked.get(), leave: self.leave.clone() };
-        pool.resting.borrow_mut().insert(number, resting);
-        let _rest = Rest(pool, number);
         let told = async {
             let _ = self.told.recv().await;
             None
@@ -115,18 +178,19 @@
     }
 }
 
-struct Rest<'a>(&'a Pool, u64);
+/// An entry in one of the pool's tables; taken out when it is dropped.
+struct Entry<'a, T>(&'a RefCell<BTreeMap<u64, T>>, u64);
 
-impl Drop for Rest<'_> {
+impl<T> Drop for Entry<'_, T> {
     fn drop(&mut self) {
-        self.0.resting.borrow_mut().remove(&self.1);
+        self.0.borrow_mut().remove(&self.1);
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
         self.pool.open.set(self.pool.open.get() - 1);
-        self.pool.room.notify();
+        self.pool.freed.notify();
         if let Some(closed) = &*self.pool.closed.borrow() {
             let _ = closed.try_send(());
         }
--- a/crates/heathspurd/src/work.rs
+++ b/crates/heathspurd/src/work.rs
@@ -26,6 +26,9 @@
 const EARLY: Duration = Duration::from_millis(100);
 const LEAVE: Duration = Duration::from_millis(300);
 
+/// The last answers are written within this, which lies well within `EARLY`.
+const LAST_WRITES: Duration = Duration::from_millis(20);
+
 /// What wakes the owner.
 enum Woken {
     Request(Arrival),
@@ -58,11 +61,34 @@
             self.take_time();
             self.decide(&mut actions);
             if self.has_left() {
-                return;
+                return self.finish(requests, inbox, actions).await;
             }
         }
     }
 
+    /// The last turn. Whatever kept the process from its time, what is owed by now is answered, and what was answered
+    /// is written: the front's tasks have this long for it.
+    async fn finish(
+        mut self,
+        mut requests: Intake<Arrival>,
+        inbox: Receiver<OwnerEvent>,
+        mut actions: Vec<Action>,
+    ) {
+        while let Some(arrival) = requests.try_next() {
+            self.take_request(arrival);
+        }
+        let due = self.due.drain(..).map(|due| due.token);
+        for token in due.chain(self.timers.drain().map(|Reverse((_, token))| token)) {
+            self.events.push(Event::Timer { token, gauges: Gauges::default() });
+        }
+        self.decide(&mut actions);
+        let closed = async { while self.desk.pool.open() > 0 && inbox.recv().await.is_ok() {} };
+        let late = async {
+            Timer::after(LAST_WRITES).await;
+        };
+        future::or(closed, late).await;
+    }
+
     async fn wait(&self, requests: &mut Intake<Arrival>, inbox: &Receiver<OwnerEvent>) -> Woken {
         if !self.events.is_empty() {
             return Woken::Time;
--- a/crates/heathspurd/tests/server.rs
+++ b/crates/heathspurd/tests/server.rs
@@ -4,7 +4,6 @@
 use base64::Engine;
 use heathspur_rig::scripted::*;
 use serde_json::json;
-use std::io::{Read, Write};
 
 fn task(txn: u64) -> String {
     format!("{txn:016x}")
@@ -646,52 +645,6 @@
     std::fs::remove_file(file).unwrap();
 }
 
-/// The store's end of a connection.
-struct Store(std::net::TcpStream);
-
-impl Store {
-    /// The other side closes with nothing more to say.
-    fn closed(&mut self) {
-        assert_eq!(self.0.read(&mut [0]).unwrap(), 0);
-    }
-
-    /// A good reply to a request's call.
-    fn ok(&mut self, txn: u64, body: &str) {
-        self.say(format!("{} OK {}\r\n{body}\r\n", task(txn), body.len()).as_bytes());
-    }
-
-    fn accept(rig: &Rig) -> Store {
-        Store(accept(&rig.store))
-    }
-
-    fn say(&mut self, bytes: &[u8]) {
-        self.0.write_all(bytes).unwrap();
-    }
-
-    fn line(&mut self) -> String {
-        let mut line = Vec::new();
-        while !line.ends_with(b"\r\n") {
-            let mut byte = [0];
-            self.0.read_exact(&mut byte).unwrap();
-            line.push(byte[0]);
-        }
-        String::from_utf8(line).unwrap().trim_end().to_string()
-    }
-
-    /// The next call: its id and body.
-    fn call(&mut self) -> (String, Vec<u8>) {
-        let line = self.line();
-        let words: Vec<_> = line.split(' ').collect();
-        assert_eq!(words[0], "CALL", "{line}");
-        assert!(words[2].parse::<u64>().unwrap() > 0);
-        let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
-        self.0.read_exact(&mut body).unwrap();
-        assert!(body.ends_with(b"\r\n"));
-        body.truncate(body.len() - 2);
-        (words[1].to_string(), body)
-    }
-}
-
 #[test]
 fn what_ended_while_the_process_stood_still_comes_before_its_late_timers() {
     // Whether a timer waits for its gauges at that moment is chance, so many are stopped.
