Spare a connection that has just come, and one whose next request has just begun

Seen: a new connection was closed before its first request was read, in one of 25 plays of the flood test: among many that rest between requests the one that had said nothing yet left first (pool.rs), however young. And one whose first words were read in the same turn in which it was asked to leave, as an idle one, got 408 (http1/mod.rs): one in 8 plays. Now who said nothing for 250 ms leaves first, the others by how long they rest, and the asking says what the connection was doing.

--- a/crates/heathspurd/src/http1/mod.rs
+++ b/crates/heathspurd/src/http1/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::front::{Answer, Arrival, Front};
 use crate::linger;
-use crate::pool::Permit;
+use crate::pool::{Asked as Leave, Permit};
 use crate::request::{Asked, Draft};
 use crate::response::Response;
 use crate::tape::Stream;
@@ -56,7 +56,7 @@
     let (mut buffer, mut reader) = (BytesMut::new(), Reader::new(LIMITS));
     loop {
         let ended = match permit.idle(next(&stream, &front, &permit, &mut buffer, &mut reader)).await {
-            Some(Ok(message)) => {
+            Ok(Ok(message)) => {
                 let close = http::says_close(Fields::over(&buffer[message.fields.clone()]));
                 let whole = buffer.split_to(message.body.end).freeze();
                 match respond(&stream, &front, &permit, &mut buffer, whole, &message, close).await {
@@ -65,21 +65,20 @@
                     Err(ended) => ended,
                 }
             }
-            Some(Err(Ended::Idle)) => match look(&stream, &mut buffer).await {
+            Ok(Err(Ended::Idle)) => match look(&stream, &mut buffer).await {
                 Some(Ok(1..)) => continue,
                 Some(_) => Ended::Closed,
                 None => Ended::Idle,
             },
             // Its permit is needed, but for one of whose next request something has come meanwhile. What is whole
             // by now is a request that this server has; a part is none.
-            None => match (buffer.is_empty(), look(&stream, &mut buffer).await) {
-                (_, Some(Ok(0) | Err(_))) => Ended::Closed,
-                (true, Some(_)) => continue,
-                (true, None) => Ended::Idle,
-                (false, _) if matches!(reader.read(&buffer), Ok(Some(_))) => continue,
-                (false, _) => Ended::Bad(408),
+            Err(asked) => match look(&stream, &mut buffer).await {
+                Some(Ok(0) | Err(_)) => Ended::Closed,
+                None if buffer.is_empty() => Ended::Idle,
+                _ if asked == Leave::Idle || matches!(reader.read(&buffer), Ok(Some(_))) => continue,
+                _ => Ended::Bad(408),
             },
-            Some(Err(ended)) => ended,
+            Ok(Err(ended)) => ended,
         };
         return match ended {
             Ended::Closed => {}
--- a/crates/heathspurd/src/http2/mod.rs
+++ b/crates/heathspurd/src/http2/mod.rs
@@ -115,8 +115,8 @@
     let _ = stream.get_ref().set_nodelay(true);
     let whole = shared.bounds.request.whole.0;
     let head = match permit.idle(within(whole, preface(&stream))).await {
-        Some(Ok(head)) => head,
-        Some(Err(e)) if e.kind() == io::ErrorKind::InvalidData => {
+        Ok(Ok(head)) => head,
+        Ok(Err(e)) if e.kind() == io::ErrorKind::InvalidData => {
             // Whoever speaks another version is told so in words that it can read.
             let mut out = Vec::new();
             let words = b"This port speaks HTTP/2 by prior knowledge only.\n";
@@ -125,7 +125,7 @@
             permit.linger(linger::close(&stream)).await;
             return;
         }
-        None | Some(Err(_)) => return,
+        Err(_) | Ok(Err(_)) => return,
     };
     let (stream, seen) = (Rc::new(stream), Seen::new());
     let wire = Wire::new(stream.clone(), head, PREFACE.len(), seen.clone());
@@ -133,7 +133,7 @@
     let _joined = Joined(shared.clone());
     let built = builder(&shared).handshake::<_, Bytes>(wire);
     let made = within(whole, async { built.await.map_err(io::Error::other) });
-    let Some(Ok(mut h2)) = permit.idle(made).await else { return };
+    let Ok(Ok(mut h2)) = permit.idle(made).await else { return };
     let conn = Rc::new(Conn {
         holder: shared.room.holder(),
         seen,
--- a/crates/heathspurd/src/pool.rs
+++ b/crates/heathspurd/src/pool.rs
@@ -11,8 +11,20 @@
 
 /// Permits kept free for those that come next.
 const FREE: usize = 16;
-/// A request of a new peer that is not whole after this is not spared any more: whole ones come in one piece or two.
-const PIECES: Duration = Duration::from_millis(250);
+/// A new peer that said nothing whole after this is not spared any more: a first request follows its connection at once,
+/// in one piece or two.
+const FIRST: Duration = Duration::from_millis(250);
+
+/// What a connection was doing when it was asked to leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Asked {
+    /// It rested. What has come since is a reason to stay.
+    Idle,
+    /// A part of a request was there.
+    Begun,
+    /// It was about to end.
+    Lingering,
+}
 
 /// All connections. Those that wait for a request of their peer are idle; only these are asked to leave.
 pub(crate) struct Pool {
@@ -22,7 +34,7 @@
     /// By when they became idle, the longest first.
     idle: RefCell<BTreeMap<u64, Idle>>,
     /// Those that have shut their side and read off what still comes, the longest first. They end by themselves.
-    lingering: RefCell<BTreeMap<u64, Sender<()>>>,
+    lingering: RefCell<BTreeMap<u64, Sender<Asked>>>,
     freed: Notify,
     /// Told of each that closes, once somebody waits for the last one.
     closed: RefCell<Option<Sender<()>>>,
@@ -31,20 +43,22 @@
 struct Idle {
     /// A whole request came before.
     heard: bool,
-    /// Since when a part of a request is there.
-    begun: Option<Instant>,
-    leave: Sender<()>,
+    /// A part of a request has come.
+    begun: bool,
+    since: Instant,
+    leave: Sender<Asked>,
 }
 
 impl Idle {
-    /// Who leaves first: who never said anything, then who is slow to say it for the first time, then who rests
-    /// between requests. The last ones are in the midst of a request, and leave only where no permit is left.
+    /// Who leaves first: who said nothing for long, then who is slow to say it for the first time, then who rests between
+    /// requests or has just come. The last ones are in the midst of a request, and leave only where no permit is left.
     fn rank(&self) -> u8 {
-        match (self.heard, self.begun) {
-            (false, None) => 0,
-            (false, Some(since)) if since.elapsed() >= PIECES => 1,
-            (true, None) => 2,
-            (_, Some(_)) => 3,
+        let slow = !self.heard && self.since.elapsed() >= FIRST;
+        match (slow, self.begun) {
+            (true, false) => 0,
+            (true, true) => 1,
+            (false, false) => 2,
+            (false, true) => 3,
         }
     }
 }
@@ -82,21 +96,27 @@
 
     /// Asks one connection to leave where few permits are free or about to be.
     pub fn make_room(&self) {
-        let (free, leaving) = (self.most - self.open.get(), self.lingering.borrow().len());
+        let free = self.most - self.open.get();
         if free == 0 {
             if let Some((_, leave)) = self.lingering.borrow_mut().pop_first() {
                 // A full channel says so already.
-                let _ = leave.try_send(());
+                let _ = leave.try_send(Asked::Lingering);
             }
         }
+        let leaving = self.lingering.borrow().len();
         if free + leaving >= self.reserve() {
             return;
         }
+        self.ask_one(free + leaving == 0);
+    }
+
+    /// Asks the first in rank to leave; one in the midst of a request only if it has to be.
+    fn ask_one(&self, must: bool) {
         let mut idle = self.idle.borrow_mut();
         let first = idle.iter().map(|(&number, idle)| (idle.rank(), number)).min();
-        let first = first.filter(|&(rank, _)| rank < 3 || free + leaving == 0);
+        let first = first.filter(|&(rank, _)| rank < 3 || must);
         if let Some(leaver) = first.and_then(|(_, number)| idle.remove(&number)) {
-            let _ = leaver.leave.try_send(());
+            let _ = leaver.leave.try_send(if leaver.begun { Asked::Begun } else { Asked::Idle });
         }
     }
 
@@ -118,8 +138,8 @@
     heard: Cell<bool>,
     /// Its number among the idle ones.
     number: Cell<u64>,
-    leave: Sender<()>,
-    told: Receiver<()>,
+    leave: Sender<Asked>,
+    told: Receiver<Asked>,
 }
 
 impl Permit {
@@ -143,15 +163,16 @@
     /// A part of a request has come while it was idle.
     pub fn begun(&self) {
         if let Some(idle) = self.pool.idle.borrow_mut().get_mut(&self.number.get()) {
-            idle.begun.get_or_insert_with(Instant::now);
+            idle.begun = true;
         }
     }
 
-    /// Does what may be broken off when the permit is needed; none when it was.
-    pub async fn idle<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+    /// Does what may be broken off when the permit is needed; the error says that it was.
+    pub async fn idle<T>(&self, work: impl Future<Output = T>) -> Result<T, Asked> {
         let number = self.pool.number();
         self.number.set(number);
-        let idle = Idle { heard: self.heard.get(), begun: None, leave: self.leave.clone() };
+        let idle =
+            Idle { heard: self.heard.get(), begun: false, since: Instant::now(), leave: self.leave.clone() };
         self.pool.idle.borrow_mut().insert(number, idle);
         let _entry = Entry(&self.pool.idle, number);
         self.unless_told(work).await
@@ -164,17 +185,18 @@
         // Whoever waits for a permit may take this one.
         self.pool.freed.notify();
         let _entry = Entry(&self.pool.lingering, number);
-        self.unless_told(work).await;
+        // It ends either way.
+        let _ = self.unless_told(work).await;
     }
 
-    async fn unless_told<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+    async fn unless_told<T>(&self, work: impl Future<Output = T>) -> Result<T, Asked> {
         // What was told before is void.
         let _ = self.told.try_recv();
         let told = async {
-            let _ = self.told.recv().await;
-            None
+            // It holds its own sender, so the channel is never closed.
+            Err(self.told.recv().await.unwrap_or(Asked::Idle))
         };
-        future::or(async { Some(work.await) }, told).await
+        future::or(async { Ok(work.await) }, told).await
     }
 }
 
@@ -196,3 +218,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/pool.rs"]
+mod tests;
