Begin the drain at once, also while a bad configuration is read again

Seen: after SIGHUP with a file that can't be used, SIGTERM is heard only when all ten tries of the file are over, 0.9 s later; health stays good and the server listed for that long, a third of a short stop_ms. To blame: signals.rs, `hear`, which awaited `read_again` (a timer between tries) before it polled the next signal. Behind it each notice also went through the owner's bounded queue with all that peers send.

Ruled out: a queue that keeps the notice from the owner for long. SIGTERM twice, SIGTERM before the interpreter is up with and without a request, SIGHUP while draining and many SIGHUPs behaved on the old code as well; they are held by tests now.

Change: signals and the tries are waited for together; a further SIGHUP has all tries begin anew. Signals reach the owner by `Notices`, a cell each for the drain and for the last configuration, so nothing of them waits behind peers. The log says `told to leave` when the drain begins. The rig's `logs` gives up after 20 s also where other lines keep coming.

--- a/crates/heathspur-rig/src/scripted.rs
+++ b/crates/heathspur-rig/src/scripted.rs
@@ -129,7 +129,8 @@
     pub reports: Receiver<Value>,
     pub lines: Receiver<String>,
     pub config: Value,
-    file: PathBuf,
+    /// The configuration's file.
+    pub file: PathBuf,
 }
 
 impl Drop for Rig {
@@ -212,8 +213,11 @@
 
     /// Waits for a line of the log that holds these words, and gives it.
     pub fn logs(&self, words: &str) -> String {
+        let start = Instant::now();
         loop {
             let line = self.lines.recv_timeout(NEVER).expect(words);
+            // Others may come for ever.
+            assert!(start.elapsed() < NEVER, "no line holds {words:?}");
             if line.contains(words) {
                 return line;
             }
@@ -281,6 +285,11 @@
         self.reader.get_mut().write_all(text).unwrap();
     }
 
+    /// The same; false once nobody takes it any more.
+    pub fn try_raw(&mut self, text: &[u8]) -> bool {
+        self.reader.get_mut().write_all(text).is_ok()
+    }
+
     fn line(&mut self) -> Value {
         let mut line = String::new();
         assert!(self.reader.read_line(&mut line).unwrap() > 0, "the link was closed");
--- a/crates/heathspurd/src/inbox.rs
+++ b/crates/heathspurd/src/inbox.rs
@@ -1,6 +1,5 @@
 //! What reaches the owner beside requests.
 
-use crate::config::Config;
 use crate::interpreter;
 use crate::store;
 use heathspur::RequestId;
@@ -14,10 +13,6 @@
     Closed,
     Interpreter(interpreter::Event),
     Store(store::Event),
-    /// The notice to drain.
-    Drain,
-    /// The configuration was replaced.
-    Reload(Box<Config>),
 }
 
 impl From<interpreter::Event> for OwnerEvent {
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -110,7 +110,7 @@
 /// Its log are events of `tracing`; who embeds it brings the subscriber.
 pub fn serve(config: Config, operator: Operator) -> Result<(), Fault> {
     // Signals first: from the moment that others can connect, none of them ends the process by itself.
-    let notice = signals::notices().map_err(Fault::Signals)?;
+    let signals = signals::notices().map_err(Fault::Signals)?;
     let bind = |address| TcpListener::bind(address).map_err(|e| Fault::Bind(address, e));
     let listeners = Listeners {
         http1: bind(config.listen)?,
@@ -136,7 +136,7 @@
     let tap = recording.as_ref().map(|recording| recording.tap.clone());
     let executor = Rc::new(LocalExecutor::new());
     peers.members = membership.as_ref().map(members::Membership::handle);
-    let serving = serve::serve(executor.clone(), config, listeners, notice, tap, peers);
+    let serving = serve::serve(executor.clone(), config, listeners, signals, tap, peers);
     let served = async_io::block_on(executor.run(serving));
     // What streams are left hold the tap.
     drop(executor);
--- a/crates/heathspurd/src/owner.rs
+++ b/crates/heathspurd/src/owner.rs
@@ -8,6 +8,7 @@
 use crate::keys::Keys;
 use crate::link::Target;
 use crate::members::Handle;
+use crate::signals::Notices;
 use crate::store;
 use crate::table::Table;
 use async_channel::Sender;
@@ -55,6 +56,8 @@
     pub next_call: u64,
     /// Where the fleet's view is kept: what others are told of this server.
     pub members: Option<Handle>,
+    /// What the operators ask for.
+    pub notices: Rc<Notices>,
     pub events: Vec<Event>,
     /// The time of this batch.
     pub now: Time,
--- a/crates/heathspurd/src/serve.rs
+++ b/crates/heathspurd/src/serve.rs
@@ -75,7 +75,7 @@
     executor: Rc<LocalExecutor<'static>>,
     config: Config,
     listeners: Listeners,
-    notice: Signals,
+    signals: Signals,
     tap: Option<Rc<Tap>>,
     peers: Peers,
 ) -> io::Result<()> {
@@ -128,7 +128,8 @@
         .detach();
     executor.spawn(announce::keep(targets.announce.clone(), config.name.clone(), readiness.clone())).detach();
     executor.spawn(hand_on(closings, to_owner.clone())).detach();
-    executor.spawn(signals::hear(notice, config.clone(), to_owner)).detach();
+    let notices = signals::Notices::new();
+    executor.spawn(signals::hear(signals, config.clone(), notices.clone())).detach();
     let clock = Clock::start();
     let late = settings.classes.iter().map(|c| c.give_up).max().unwrap_or_default();
     let owner = Owner {
@@ -145,6 +146,7 @@
         call_timers: BTreeSet::new(),
         next_call: 1,
         members: peers.members,
+        notices,
         events: Vec::new(),
         now: clock.now(),
         clock,
--- a/crates/heathspurd/src/signals.rs
+++ b/crates/heathspurd/src/signals.rs
@@ -1,17 +1,18 @@
 //! SIGTERM is the notice to drain, SIGHUP that the configuration was replaced.
 
 use crate::config::Config;
-use crate::inbox::OwnerEvent;
-use async_channel::Sender;
+use crate::notify::Notify;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{future, StreamExt};
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::path::Path;
+use std::rc::Rc;
 use std::time::Duration;
 use tracing::warn;
 
-/// A configuration that can't be read is tried so often, and again after this.
+/// A configuration that can't be used is read so often, and again after this.
 const READ_TRIES: u32 = 10;
 const READ_AGAIN: Duration = Duration::from_millis(100);
 
@@ -20,37 +21,81 @@
     Signals::new([Signal::Term, Signal::Int, Signal::Hup])
 }
 
-/// Hears the notices to drain and to read the configuration again.
-pub(crate) async fn hear(mut notice: Signals, started: Config, inbox: Sender<OwnerEvent>) {
-    while let Some(Ok(signal)) = notice.next().await {
-        let item = match (signal, &started.file) {
-            (Signal::Hup, Some(file)) => match read_again(file).await {
+/// What the operators' signals ask for, until the owner takes it. Nothing of it queues behind what peers send:
+/// a notice to drain is one however often it comes, and of new configurations the last one holds.
+pub(crate) struct Notices {
+    drain: Cell<bool>,
+    config: RefCell<Option<Config>>,
+    told: Notify,
+}
+
+impl Notices {
+    pub fn new() -> Rc<Notices> {
+        Rc::new(Notices { drain: Cell::new(false), config: RefCell::new(None), told: Notify::new() })
+    }
+
+    fn drain(&self) {
+        self.drain.set(true);
+        self.told.notify();
+    }
+
+    fn reload(&self, config: Config) {
+        self.config.replace(Some(config));
+        self.told.notify();
+    }
+
+    /// Waits until there is something to take.
+    pub async fn told(&self) {
+        self.told.notified().await;
+    }
+
+    /// Whether to drain, and the configuration that holds from now on.
+    pub fn take(&self) -> (bool, Option<Config>) {
+        (self.drain.take(), self.config.take())
+    }
+}
+
+/// Hears the notices to drain and to read the configuration again. While it is read again and again the next
+/// signal is heard: a drain begins at once, and another SIGHUP has all tries begin anew.
+pub(crate) async fn hear(mut signals: Signals, started: Config, notices: Rc<Notices>) {
+    let mut tries = 0;
+    loop {
+        let signal = async { Some(signals.next().await) };
+        let again = async {
+            match tries {
+                0 => future::pending().await,
+                READ_TRIES => {}
+                _ => drop(Timer::after(READ_AGAIN).await),
+            }
+            None
+        };
+        match (future::or(signal, again).await, &started.file) {
+            (Some(Some(Ok(Signal::Hup))), Some(_)) => tries = READ_TRIES,
+            (Some(Some(Ok(Signal::Hup))), None) => {}
+            (Some(Some(Ok(_))), _) => notices.drain(),
+            (None, Some(file)) => match read_again(&started, file) {
                 Some(config) => {
-                    if started.differs(&config) {
-                        warn!("only the peers' addresses are taken from the new configuration; it differs in more");
-                    }
-                    OwnerEvent::Reload(Box::new(config))
+                    notices.reload(config);
+                    tries = 0;
                 }
-                None => continue,
+                None => tries -= 1,
             },
-            (Signal::Hup, None) => continue,
-            _ => OwnerEvent::Drain,
-        };
-        if inbox.send(item).await.is_err() {
-            return;
+            (Some(_), _) | (None, None) => return,
         }
     }
 }
 
-/// The configuration's file as it is now. One that is being written yet is tried again for a while; one that
-/// stays wrong changes nothing.
-async fn read_again(file: &Path) -> Option<Config> {
-    for _ in 0..READ_TRIES {
-        match Config::read(file) {
-            Ok(config) => return Some(config),
-            Err(fault) => warn!(%fault, "the configuration stays as it was: {fault}"),
+/// The configuration's file as it is now.
+fn read_again(started: &Config, file: &Path) -> Option<Config> {
+    let config = match Config::read(file) {
+        Ok(config) => config,
+        Err(fault) => {
+            warn!(%fault, "the configuration stays as it was: {fault}");
+            return None;
         }
-        Timer::after(READ_AGAIN).await;
+    };
+    if started.differs(&config) {
+        warn!("only the peers' addresses are taken from the new configuration; it differs in more");
     }
-    None
+    Some(config)
 }
--- a/crates/heathspurd/src/work.rs
+++ b/crates/heathspurd/src/work.rs
@@ -30,6 +30,7 @@
 enum Woken {
     Request(Arrival),
     Event(OwnerEvent),
+    Notice,
     Time,
 }
 
@@ -44,8 +45,9 @@
             match woken {
                 Woken::Request(arrival) => self.take_request(arrival),
                 Woken::Event(item) => self.take_event(item),
-                Woken::Time => {}
+                Woken::Notice | Woken::Time => {}
             }
+            self.take_notices();
             // Events before requests: results, gauges and notices are few and must not wait behind a flood.
             for _ in 0..EVENTS {
                 let Ok(item) = inbox.try_recv() else { break };
@@ -74,6 +76,10 @@
                 Err(_) => future::pending().await,
             }
         };
+        let notice = async {
+            self.notices.told().await;
+            Woken::Notice
+        };
         let time = async {
             match self.next_time() {
                 Some(at) => Timer::at(self.clock.instant(at)).await,
@@ -81,7 +87,7 @@
             };
             Woken::Time
         };
-        future::or(item, future::or(request, time)).await
+        future::or(notice, future::or(item, future::or(request, time))).await
     }
 
     fn next_time(&self) -> Option<Time> {
@@ -140,8 +146,16 @@
             OwnerEvent::Closed => {}
             OwnerEvent::Interpreter(heard) => self.hear(heard),
             OwnerEvent::Store(called) => self.called(called),
-            OwnerEvent::Drain => self.leave(),
-            OwnerEvent::Reload(config) => self.move_to(&config),
+        }
+    }
+
+    fn take_notices(&mut self) {
+        let (drain, config) = self.notices.take();
+        if let Some(config) = config {
+            self.move_to(&config);
+        }
+        if drain {
+            self.leave();
         }
     }
 
@@ -191,6 +205,7 @@
         if self.leaving.is_some() {
             return;
         }
+        info!("told to leave");
         self.begin(self.settings.cold, self.now);
         let span = |d: Duration| Span(d.as_micros() as u64);
         let stop = self.stop.saturating_sub(EARLY);
--- /dev/null
+++ b/crates/heathspurd/tests/signals.rs
@@ -0,0 +1,225 @@
+//! Signals that come at a bad moment, and configurations that can't be used. Tests wait for events; only
+//! what never comes times out.
+
+use heathspur_rig::scripted::*;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Receiver;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The server tries so often to read a configuration that can't be used.
+const TRIES: usize = 10;
+const STAYS: &str = "the configuration stays as it was";
+const LEAVES: &str = "told to leave";
+
+fn task(txn: u64) -> String {
+    format!("{txn:016x}")
+}
+
+/// The server reports to the announce service that it takes nothing more.
+fn reports_that_it_leaves(reports: &Receiver<Value>) {
+    while reports.recv_timeout(NEVER).unwrap() != json!({"accepting": "false"}) {}
+}
+
+fn health(rig: &Rig) -> u16 {
+    let mut check = rig.client();
+    check.send(b"GET /status/live HTTP/1.1\r\n\r\n");
+    check.answer().0
+}
+
+fn address(listener: &TcpListener) -> Value {
+    json!(listener.local_addr().unwrap())
+}
+
+/// Nobody connects there; what would have connected has had the time for it.
+fn unvisited(listener: &TcpListener) {
+    listener.set_nonblocking(true).unwrap();
+    assert!(listener.accept().is_err(), "somebody connected");
+}
+
+/// A request is served over that link to the interpreter.
+fn serves(client: &mut Client, vm: &mut Vm, txn: u64) {
+    client.send(&request(txn, None, b"abc"));
+    assert_eq!(vm.apply().0, task(txn));
+    vm.value(&task(txn), "complete", b"one");
+    assert_eq!(client.answer().2, b"one");
+}
+
+#[test]
+fn a_notice_to_leave_is_heard_while_a_bad_configuration_is_read_again_and_again() {
+    // On a machine so busy that the notice is sent too late nothing is forced: then once more.
+    loop {
+        let rig = Rig::with(|c| {
+            // Long enough for all that is looked at.
+            c["stop_ms"] = json!(20_000);
+            c["settings"]["guarantees"]["drain-grace-s"] = json!(15.0);
+        });
+        let _vm = rig.link();
+        std::fs::write(&rig.file, "{\"name\":\"n3\",").unwrap();
+        rig.process.signal("HUP");
+        rig.logs(STAYS);
+        let first = Instant::now();
+        rig.process.terminate();
+        // All tries take 0.9 s.
+        if first.elapsed() > Duration::from_millis(500) {
+            continue;
+        }
+        let mut tries = 1;
+        loop {
+            let line = rig.lines.recv_timeout(NEVER).expect(LEAVES);
+            if line.contains(LEAVES) {
+                break;
+            }
+            tries += usize::from(line.contains(STAYS));
+        }
+        assert!(tries < TRIES, "it left only after all {TRIES} tries");
+        reports_that_it_leaves(&rig.reports);
+        assert_eq!(health(&rig), 503);
+        return;
+    }
+}
+
+#[test]
+fn a_flood_of_notices_from_the_interpreter_does_not_keep_it_from_leaving() {
+    let rig = Rig::start();
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    serves(&mut client, &mut vm, 1);
+    let over = Arc::new(AtomicBool::new(false));
+    let flood = {
+        let over = over.clone();
+        let line = format!("{}\n", json!({"verb": "ERROR", "outcome": "STUB", "task": task(9)}));
+        thread::spawn(move || {
+            let lines = line.repeat(4096);
+            while !over.load(Ordering::Relaxed) && vm.try_raw(lines.as_bytes()) {}
+        })
+    };
+    rig.logs("did not carry out");
+    rig.process.terminate();
+    reports_that_it_leaves(&rig.reports);
+    over.store(true, Ordering::Relaxed);
+    drop(rig);
+    flood.join().unwrap();
+}
+
+#[test]
+fn a_second_notice_to_leave_changes_nothing() {
+    let mut rig = Rig::start();
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    client.send(&request(1, None, b"abc"));
+    vm.apply();
+    rig.process.terminate();
+    rig.logs(LEAVES);
+    rig.process.terminate();
+    rig.process.signal("INT");
+    reports_that_it_leaves(&rig.reports);
+    vm.value(&task(1), "complete", b"one");
+    assert_eq!(client.answer().2, b"one");
+    assert_eq!(rig.process.wait().code(), Some(0));
+    assert_eq!(rig.lines.iter().filter(|line| line.contains(LEAVES)).count(), 0);
+}
+
+#[test]
+fn it_leaves_before_the_interpreter_is_up_and_answers_what_it_read() {
+    for (linked, asked) in [(false, false), (false, true), (true, true)] {
+        let mut rig = Rig::start();
+        // The link is there, but `BANNER` waits until the interpreter is up.
+        let _vm = linked.then(|| rig.open_link());
+        let mut client = rig.client();
+        if asked {
+            client.send(&request(1, Some("k"), b"abc"));
+        }
+        rig.process.terminate();
+        rig.logs(LEAVES);
+        reports_that_it_leaves(&rig.reports);
+        if asked {
+            assert!([503, 504].contains(&client.answer().0));
+        }
+        assert_eq!(rig.process.wait().code(), Some(0));
+    }
+}
+
+#[test]
+fn a_new_configuration_holds_while_it_leaves() {
+    let mut rig = Rig::start();
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    client.send(&request(1, None, b"abc"));
+    vm.apply();
+    rig.process.terminate();
+    rig.logs(LEAVES);
+    let reports = rig.move_peers();
+    reports_that_it_leaves(&reports);
+    let mut vm = rig.link();
+    assert_eq!(vm.apply().0, task(1));
+    vm.value(&task(1), "complete", b"one");
+    assert_eq!(client.answer().2, b"one");
+    assert_eq!(rig.process.wait().code(), Some(0));
+}
+
+#[test]
+fn of_many_new_configurations_the_last_one_holds() {
+    let mut rig = Rig::start();
+    let _vm = rig.link();
+    // Not more: the log has a bound.
+    for _ in 0..3 {
+        rig.move_peers();
+    }
+    // The last is asked for while one that can't be used is read again.
+    std::fs::write(&rig.file, "").unwrap();
+    rig.process.signal("HUP");
+    rig.logs(STAYS);
+    rig.process.signal("HUP");
+    let _reports = rig.move_peers();
+    let mut vm = rig.link();
+    serves(&mut rig.client(), &mut vm, 1);
+}
+
+/// A file that can't be used is told of with these words, and nothing of it holds.
+fn holds_nothing_of(text: impl FnOnce(&mut Value) -> Option<String>, words: &str) {
+    let mut rig = Rig::start();
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    serves(&mut client, &mut vm, 1);
+    let [other, announce, store] = [(); 3].map(|()| local());
+    for (field, listener) in [("vm", &other), ("announce", &announce), ("store", &store)] {
+        rig.config[field] = address(listener);
+    }
+    match text(&mut rig.config) {
+        Some(text) => std::fs::write(&rig.file, text).unwrap(),
+        None => std::fs::remove_file(&rig.file).unwrap(),
+    }
+    rig.process.signal("HUP");
+    for _ in 0..TRIES {
+        let line = rig.logs(STAYS);
+        assert!(line.contains(words), "{line}");
+    }
+    serves(&mut client, &mut vm, 2);
+    client.send(&request(3, None, b"abc"));
+    vm.apply();
+    vm.awaits(&task(3), b"ask");
+    let mut call = String::new();
+    BufReader::new(accept(&rig.store)).read_line(&mut call).unwrap();
+    assert!(call.starts_with(&format!("CALL {} ", task(3))), "{call}");
+    [other, announce, store].iter().for_each(unvisited);
+}
+
+#[test]
+fn nothing_holds_of_a_configuration_that_is_missing_empty_or_half_written() {
+    holds_nothing_of(|_| None, "No such file");
+    holds_nothing_of(|_| Some(String::new()), "EOF");
+    holds_nothing_of(
+        |config| {
+            let whole = config.to_string();
+            Some(whole[..whole.len() - 1].to_string())
+        },
+        "EOF",
+    );
+    // A shorter one written over a longer one.
+    holds_nothing_of(|config| Some(format!("{config}}}")), "trailing characters");
+}
