Hear signals from before the configuration is read

Seen: a SIGHUP that comes while the server reads its configuration for the first time ends the process (a crash), as no handler stands yet; had it come a moment later, the old file's addresses would have held. To blame: cli.rs, which read the files before lib.rs `serve` called `signals::notices`.

Ruled out: nothing connects before that, so no request is lost by a SIGTERM there; it now starts, drains and ends with 0.

Change: the daemon's command line registers for signals first and hands them on (`serve_from`); `serve`, for those who embed it, registers as before. A SIGHUP between exec and the first lines of main still ends the process; nothing in the program can mend that.

--- a/crates/heathspurd/src/cli.rs
+++ b/crates/heathspurd/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line of the daemon.
 
 use crate::config::{self, Config};
-use crate::{log, Fault};
+use crate::{log, signals, Fault};
 use clap::{Args, Parser, Subcommand};
 use heathspur_operator::Operator;
 use std::path::{Path, PathBuf};
@@ -59,9 +59,10 @@
     };
     let command = command.unwrap_or(Command::Serve(Files::default()));
     let done = match &command {
-        Command::Serve(files) => files.read().and_then(|(config, operator)| {
+        Command::Serve(files) => signals::notices().map_err(Fault::Signals).and_then(|signals| {
+            let (config, operator) = files.read()?;
             log::install(&operator.log);
-            crate::serve(config, operator)
+            crate::serve_from(signals, config, operator)
         }),
         Command::Check(files) => files.read().map(|_| println!("heathspurd: the files can be used")),
     };
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -42,6 +42,7 @@
 mod work;
 
 use async_executor::LocalExecutor;
+use async_signal::Signals;
 use config::Config;
 use heathspur_operator::Operator;
 use record::Recording;
@@ -109,8 +110,12 @@
 ///
 /// Its log are events of `tracing`; who embeds it brings the subscriber.
 pub fn serve(config: Config, operator: Operator) -> Result<(), Fault> {
-    // Signals first: from the moment that others can connect, none of them ends the process by itself.
-    let signals = signals::notices().map_err(Fault::Signals)?;
+    serve_from(signals::notices().map_err(Fault::Signals)?, config, operator)
+}
+
+/// The same with signals that were heard from before the files were read: none of them ends the process by itself,
+/// and a configuration that is replaced meanwhile is read again.
+fn serve_from(signals: Signals, config: Config, operator: Operator) -> Result<(), Fault> {
     let bind = |address| TcpListener::bind(address).map_err(|e| Fault::Bind(address, e));
     let listeners = Listeners {
         http1: bind(config.listen)?,
--- a/crates/heathspurd/tests/signals.rs
+++ b/crates/heathspurd/tests/signals.rs
@@ -3,8 +3,10 @@
 
 use heathspur_rig::scripted::*;
 use serde_json::{json, Value};
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::Receiver;
 use std::sync::Arc;
@@ -180,6 +182,32 @@
     serves(&mut rig.client(), &mut vm, 1);
 }
 
+#[test]
+fn a_new_configuration_told_of_while_the_first_is_read_holds() {
+    let [vm, moved, announce, store] = [(); 4].map(|()| local());
+    let at = |l: &TcpListener| l.local_addr().unwrap();
+    let mut settings = config(at(&vm), at(&announce), at(&store));
+    let file = std::env::temp_dir().join(format!("heathspurd-{}-fifo", std::process::id()));
+    assert!(Command::new("mkfifo").arg(&file).status().unwrap().success());
+    let mut process = Running(program(&file).spawn().unwrap());
+    // Opening it waits until the server has opened it, and the server waits for what is written.
+    let mut fifo = std::fs::OpenOptions::new().write(true).open(&file).unwrap();
+    let first = settings.to_string();
+    settings["vm"] = address(&moved);
+    let next: PathBuf = file.with_extension("next");
+    std::fs::write(&next, settings.to_string()).unwrap();
+    std::fs::rename(&next, &file).unwrap();
+    process.signal("HUP");
+    fifo.write_all(first.as_bytes()).unwrap();
+    drop(fifo);
+    let _link = accept(&moved);
+    process.terminate();
+    let said: Vec<_> =
+        BufReader::new(process.0.stderr.take().unwrap()).lines().map_while(Result::ok).collect();
+    assert_eq!(process.wait().code(), Some(0), "{said:?}");
+    std::fs::remove_file(file).unwrap();
+}
+
 /// A file that can't be used is told of with these words, and nothing of it holds.
 fn holds_nothing_of(text: impl FnOnce(&mut Value) -> Option<String>, words: &str) {
     let mut rig = Rig::start();
