Take nothing from a configuration of another server or customer

Seen: on SIGHUP the addresses were taken from any file that could be read, also from one with another name, listening address or other classes and tenants: its interpreter, store and announce service would have got this server's requests and calls. To blame: signals.rs, where `Config::differs` only warned, and work.rs `move_to`, which took the addresses whatever it said.

So a file is this server's when name, listen, the presence of a store (the last tier has none), the classes' names, effects and windows and the tenants' names are those it started with; else nothing of it holds, and the log names the field, its value and the own one. `seed`, `servers`, `upstreams` and `cold` are what a start changes and may differ. The rest of the settings, limits and stop_ms may change for the same server and customer: the addresses hold, and the log now names what differs. The test that changes limits.sockets stands as it was.

Ruled out: a file that is missing, empty, half written, longer than its text, or swapped by rename. Nothing of the bad ones held before either; tests hold it now.

--- a/crates/heathspurd/src/signals.rs
+++ b/crates/heathspurd/src/signals.rs
@@ -85,17 +85,21 @@
     }
 }
 
-/// The configuration's file as it is now.
+/// The configuration's file as it is now, where it is this server's.
 fn read_again(started: &Config, file: &Path) -> Option<Config> {
-    let config = match Config::read(file) {
+    let config = match Config::read(file).and_then(|config| started.check_own(config)) {
         Ok(config) => config,
         Err(fault) => {
             warn!(%fault, "the configuration stays as it was: {fault}");
             return None;
         }
     };
-    if started.differs(&config) {
-        warn!("only the peers' addresses are taken from the new configuration; it differs in more");
+    let more = started.differs(&config).join(", ");
+    if !more.is_empty() {
+        warn!(
+            more,
+            "only the peers' addresses are taken from the new configuration; it differs in more: {more}"
+        );
     }
     Some(config)
 }
--- a/crates/heathspurd/tests/signals.rs
+++ b/crates/heathspurd/tests/signals.rs
@@ -1,4 +1,4 @@
-//! Signals that come at a bad moment, and configurations that can't be used. Tests wait for events; only
+//! Signals that come at a bad moment, and configurations that are not this server's. Tests wait for events; only
 //! what never comes times out.
 
 use heathspur_rig::scripted::*;
@@ -208,7 +208,7 @@
     std::fs::remove_file(file).unwrap();
 }
 
-/// A file that can't be used is told of with these words, and nothing of it holds.
+/// A file that is none of this server's is told of with these words, and nothing of it holds.
 fn holds_nothing_of(text: impl FnOnce(&mut Value) -> Option<String>, words: &str) {
     let mut rig = Rig::start();
     let mut vm = rig.link();
@@ -237,6 +237,25 @@
     [other, announce, store].iter().for_each(unvisited);
 }
 
+#[test]
+fn nothing_holds_of_another_servers_or_customers_configuration() {
+    let whole = |config: &mut Value| Some(config.to_string());
+    holds_nothing_of(
+        |c| {
+            c["name"] = json!("n4");
+            whole(c)
+        },
+        ": name: it is of another server or customer: \"n4\", not \"n3\"",
+    );
+    holds_nothing_of(
+        |c| {
+            c["settings"]["services"][1]["name"] = json!("book");
+            whole(c)
+        },
+        ": settings.services[1].name: it is of another server or customer: \"book\", not \"pay\"",
+    );
+}
+
 #[test]
 fn nothing_holds_of_a_configuration_that_is_missing_empty_or_half_written() {
     holds_nothing_of(|_| None, "No such file");
@@ -251,3 +270,32 @@
     // A shorter one written over a longer one.
     holds_nothing_of(|config| Some(format!("{config}}}")), "trailing characters");
 }
+
+#[test]
+fn a_configuration_that_another_start_would_get_moves_the_links_without_a_word() {
+    let mut rig = Rig::start();
+    let _old = rig.link();
+    rig.config["seed"] = json!("1");
+    rig.config["settings"]["servers"] = json!(7);
+    rig.config["settings"]["me"] = json!(3);
+    rig.config["settings"]["family-info"]["cold"] = json!(true);
+    rig.config["settings"]["family-info"]["upstreams"] = json!(9);
+    let _reports = rig.move_peers();
+    let mut vm = rig.link();
+    serves(&mut rig.client(), &mut vm, 1);
+    assert!(rig.lines.try_iter().all(|line| !line.contains("differs") && !line.contains(STAYS)));
+}
+
+#[test]
+fn a_configuration_that_differs_in_what_a_start_is_needed_for_says_where() {
+    let mut rig = Rig::start();
+    let _old = rig.link();
+    rig.config["stop_ms"] = json!(9000);
+    rig.config["limits"]["memory_mb"] = json!(64);
+    rig.config["settings"]["realms"][0]["quota-per-s"] = json!(7.0);
+    let _reports = rig.move_peers();
+    let line = rig.logs("it differs in more");
+    assert!(line.ends_with(": stop_ms, limits.memory_mb, settings"), "{line}");
+    let mut vm = rig.link();
+    serves(&mut rig.client(), &mut vm, 1);
+}
