--- a/crates/heathspurd/src/interpreter.rs
+++ b/crates/heathspurd/src/interpreter.rs
@@ -18,6 +18,8 @@
 /// Waits before the link is made again.
 const SHORTEST: Duration = Duration::from_millis(10);
 const LONGEST: Duration = Duration::from_millis(500);
+/// A connection must come up within this.
+const CONNECT: Duration = Duration::from_secs(1);
 /// Bytes of commands that may wait to be written before the link counts as broken.
 const MOST: usize = 8 << 20;
 
@@ -59,7 +61,7 @@
     let (mut last, mut wait) = (0, SHORTEST);
     loop {
         let address = target.get();
-        match connect(address, tap.as_ref().map(|tap| (tap, Leg::Interpreter))).await {
+        match connect(address, CONNECT, tap.as_ref().map(|tap| (tap, Leg::Interpreter))).await {
             Ok(stream) => {
                 let before = last;
                 let moved = async {
--- a/crates/heathspurd/src/link.rs
+++ b/crates/heathspurd/src/link.rs
@@ -12,8 +12,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A connection must come up within this.
-const CONNECT: Duration = Duration::from_secs(1);
 const CHUNK: usize = 16 * 1024;
 
 /// Where a peer is found; a new configuration may move it.
@@ -45,9 +43,18 @@
     }
 }
 
-/// A new connection, recorded where links are.
-pub(crate) async fn connect(address: SocketAddr, recorded: Option<(&Rc<Tap>, Leg)>) -> io::Result<Stream> {
-    let stream = within(CONNECT, Async::<TcpStream>::connect(address)).await?;
+/// Open, and nothing came that was not asked for.
+pub(crate) fn is_quiet(stream: &Stream) -> bool {
+    matches!(stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// A new connection that comes up within the limit, recorded where links are.
+pub(crate) async fn connect(
+    address: SocketAddr,
+    limit: Duration,
+    recorded: Option<(&Rc<Tap>, Leg)>,
+) -> io::Result<Stream> {
+    let stream = within(limit, Async::<TcpStream>::connect(address)).await?;
     stream.get_ref().set_nodelay(true)?;
     Ok(Stream::made(stream, recorded))
 }
--- a/crates/heathspurd/src/store.rs
+++ b/crates/heathspurd/src/store.rs
@@ -4,7 +4,7 @@
 
 use crate::failover::{Routes, Way};
 use crate::front::Txn;
-use crate::link::{connect, Inflow};
+use crate::link::{connect, is_quiet, Inflow};
 use crate::tape::{Stream, Tap};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
@@ -23,6 +23,9 @@
 /// A connection is used again within this: the other side may close or forget one that stands idle.
 const REUSE: Duration = Duration::from_millis(250);
 
+/// A connection must come up within this.
+const CONNECT: Duration = Duration::from_secs(1);
+
 /// One call of one request; numbers are never used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct CallId(pub u64);
@@ -60,8 +63,8 @@
 impl Line {
     /// It may carry a call of this request to this address: it is young, open, and nothing came unasked.
     fn serves(&self, txn: Txn, address: SocketAddr) -> bool {
-        let quiet = || matches!(self.stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
-        self.address == address && self.last.is_some_and(|(t, _)| t != txn) && self.is_young() && quiet()
+        let other = self.last.is_some_and(|(t, _)| t != txn);
+        self.address == address && other && self.is_young() && is_quiet(&self.stream)
     }
 
     fn is_young(&self) -> bool {
@@ -221,7 +224,7 @@
             return Ok(line);
         }
         Ok(Line {
-            stream: connect(address, self.tap.as_ref().map(|tap| (tap, Leg::Store))).await?,
+            stream: connect(address, CONNECT, self.tap.as_ref().map(|tap| (tap, Leg::Store))).await?,
             inflow: Inflow::new(),
             address,
             last: None,
--- /dev/null
+++ b/crates/heathspurd/tests/peers.rs
@@ -0,0 +1,215 @@
+//! Peers that are slow, silent, or answer out of order: the announce service, the interpreter and the store as
+//! scripted stand-ins. A slow dial is a real one: the listener's queue is full, so the system drops its packets
+//! until the test makes room.
+
+use heathspur_rig::scripted::*;
+use procfs::net::TcpState;
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longer than a dial was once waited for; its packet is sent again after about each second.
+const SLOW: Duration = Duration::from_millis(1500);
+
+/// A listener that takes no connection for now.
+struct Full {
+    listener: TcpListener,
+    _first: TcpStream,
+}
+
+impl Full {
+    fn new() -> Full {
+        let listener = local();
+        rustix::net::listen(&listener, 0).unwrap();
+        let _first = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        Full { listener, _first }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// Waits until one and the same dial has stood for `SLOW`, and makes room for one connection then.
+    fn let_in(self) -> TcpListener {
+        let (start, mut dials) = (Instant::now(), HashMap::new());
+        loop {
+            assert!(start.elapsed() < NEVER, "no dial stood so long");
+            let open: Vec<_> = procfs::net::tcp().unwrap();
+            let open =
+                open.iter().filter(|c| c.state == TcpState::SynSent && c.remote_address == self.address());
+            let open: Vec<_> = open.map(|c| c.inode).collect();
+            dials.retain(|dial, _| open.contains(dial));
+            for dial in open {
+                dials.entry(dial).or_insert_with(Instant::now);
+            }
+            if dials.values().any(|since| since.elapsed() >= SLOW) {
+                break;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        drop(accept(&self.listener));
+        self.listener
+    }
+}
+
+/// The announce service's end of a connection.
+struct Announce(BufReader<TcpStream>);
+
+impl Announce {
+    /// The next connection that a report comes on, and the report.
+    fn accept(listener: &TcpListener) -> (Announce, String) {
+        loop {
+            let mut connection = Announce(BufReader::new(accept(listener)));
+            if let Some(report) = connection.next() {
+                return (connection, report);
+            }
+        }
+    }
+
+    /// The next report on it; none once the server has closed it.
+    fn next(&mut self) -> Option<String> {
+        let mut line = String::new();
+        let mut length = 0;
+        while line != "\r\n" {
+            line.clear();
+            self.0.read_line(&mut line).ok().filter(|&n| n > 0)?;
+            if let Some(text) = line.to_ascii_lowercase().strip_prefix("content-length: ") {
+                length = text.trim().parse().unwrap();
+            }
+        }
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).ok()?;
+        let body: Value = serde_json::from_slice(&body).unwrap();
+        Some(body["accepting"].as_str().unwrap().to_string())
+    }
+
+    /// Nothing if the server has gone meanwhile.
+    fn answer(&mut self, status: &str) -> Option<()> {
+        let text = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+        self.0.get_mut().write_all(text.as_bytes()).ok()
+    }
+
+    fn taken(&mut self) -> Option<()> {
+        self.answer("204 No Content")
+    }
+
+    /// Something if the server still holds it, with nothing written.
+    fn is_open(&mut self) -> Option<()> {
+        self.0.get_ref().set_nonblocking(true).unwrap();
+        let read = self.0.get_ref().peek(&mut [0]);
+        self.0.get_ref().set_nonblocking(false).unwrap();
+        matches!(read, Err(e) if e.kind() == ErrorKind::WouldBlock).then_some(())
+    }
+}
+
+fn at(listener: &TcpListener) -> Value {
+    json!(listener.local_addr().unwrap())
+}
+
+/// A server that reports to this listener, linked to its interpreter.
+fn reporting_to(listener: &TcpListener) -> (Rig, Vm) {
+    let rig = Rig::with(|c| {
+        c["announce"] = at(listener);
+        c["stop_ms"] = json!(30_000);
+    });
+    let vm = rig.link();
+    (rig, vm)
+}
+
+/// The server waits by its own clock, which a machine that stands still for seconds uses up; a try that this
+/// spoilt is made again. What fails without a standstill fails each time.
+fn in_one_of_five(attempt: impl Fn() -> Option<()>) {
+    let tries = (1..=5).find(|_| attempt().is_some()).expect("it failed each time");
+    println!("tries: {tries}");
+}
+
+#[test]
+fn a_service_that_is_slow_to_take_connections_is_reported_to() {
+    let service = Full::new();
+    let (_rig, _vm) = reporting_to(&service.listener);
+    assert_eq!(Announce::accept(&service.let_in()).1, "true");
+}
+
+#[test]
+fn a_report_that_is_answered_late_keeps_its_connection_while_another_one_is_tried() {
+    in_one_of_five(|| {
+        let service = local();
+        let (_rig, _vm) = reporting_to(&service);
+        let mut slow = Announce::accept(&service).0;
+        // Nothing is heard of the first, so another connection tells; the first is not broken off for it.
+        let (_other, _) = Announce::accept(&service);
+        slow.is_open()?;
+        slow.taken()?;
+        // It counts, and the connection is kept.
+        slow.next().map(|_| ())
+    });
+}
+
+#[test]
+fn a_drain_is_told_again_after_an_older_report_has_ended() {
+    in_one_of_five(|| {
+        let service = local();
+        let (rig, mut vm) = reporting_to(&service);
+        let mut slow = Announce::accept(&service).0;
+        // What runs keeps the server from leaving at once.
+        let mut client = rig.client();
+        client.send(&request(1, None, b"abc"));
+        vm.apply();
+        rig.process.terminate();
+        let (mut other, mut told) = Announce::accept(&service);
+        while told != "false" {
+            other.taken()?;
+            told = other.next()?;
+        }
+        // The service may have taken the later report first: the older one has the last word when it is answered.
+        slow.is_open()?;
+        other.taken()?;
+        slow.taken()?;
+        // Whichever connection it comes on, the other one is closed.
+        let again = thread::spawn(move || slow.next());
+        let heard = [other.next(), again.join().unwrap()];
+        assert!(!heard.contains(&Some("true".to_string())), "{heard:?}");
+        heard.contains(&Some("false".to_string())).then_some(())
+    });
+}
+
+#[test]
+fn a_report_that_was_not_taken_is_made_again_on_its_connection() {
+    in_one_of_five(|| {
+        let service = local();
+        let (_rig, _vm) = reporting_to(&service);
+        let mut connection = Announce::accept(&service).0;
+        for _ in 0..3 {
+            connection.answer("500 Internal Server Error")?;
+            connection.next()?;
+        }
+        Some(())
+    });
+}
+
+#[test]
+fn a_second_answer_to_one_report_does_not_count_for_the_next() {
+    let service = local();
+    let (_rig, _vm) = reporting_to(&service);
+    let (mut connection, _) = Announce::accept(&service);
+    let twice = b"HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
+    let _ = connection.0.get_mut().write_all(twice);
+    // It can't be told whose answers come on it, so the next report has a connection of its own.
+    assert_eq!(connection.next(), None);
+    assert_eq!(Announce::accept(&service).1, "true");
+}
+
+#[test]
+fn a_service_that_closes_each_connection_at_once_is_not_stormed() {
+    let service = local();
+    let (_rig, _vm) = reporting_to(&service);
+    let began = Instant::now();
+    for _ in 0..11 {
+        drop(accept(&service));
+    }
+    // A tenth of a second lies between one failure and the next dial.
+    assert!(began.elapsed() > Duration::from_millis(500), "{:?}", began.elapsed());
+}
