Give a dial to the store as long as its call has

Seen: with the store's listener full, so that the system sends the dial's packet again after a second, no call ever got through: the dial was given up after 1 s as `ConnectFailed`, whatever time the call had left, and so was each later one. A call also stated its whole limit after a dial that had used up part of it, so the store worked on for callers that had gone.

Ruled out: a call whose limit is under a second does not hold its dial or its place longer than it lives (the owner gives it up 20 ms past its limit, which drops the task with both); a dial that comes up after that is not written to (there is no await between its end and the mark `written`); a write that fails is taken as in doubt.

Now waiting for a place and dialling take their time from the call's limit, and the call states what is left of it.

--- a/crates/heathspurd/src/store.rs
+++ b/crates/heathspurd/src/store.rs
@@ -23,9 +23,6 @@
 /// A connection is used again within this: the other side may close or forget one that stands idle.
 const REUSE: Duration = Duration::from_millis(250);
 
-/// A connection must come up within this.
-const CONNECT: Duration = Duration::from_secs(1);
-
 /// One call of one request; numbers are never used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct CallId(pub u64);
@@ -129,16 +126,17 @@
         let (link, number, written) = (self.clone(), call.call, Rc::new(Cell::new(false)));
         let way = self.routes.as_ref().map(|routes| routes.pick().map(Rc::new));
         let (mark, goes) = (written.clone(), way.clone());
+        let made = Instant::now();
         let task = self.executor.spawn(async move {
             let (outcome, body) = match &goes {
                 // Who is due for it has no room: turned away here, before anything of it was sent.
                 Some(None) => (Outcome::Full, Bytes::new()),
                 Some(Some(way)) => {
-                    let ended = link.carry(&call, Some(way.address()), &mark).await;
+                    let ended = link.carry(&call, made, Some(way.address()), &mark).await;
                     way.ended(ended.0);
                     ended
                 }
-                None => link.carry(&call, link.address.get(), &mark).await,
+                None => link.carry(&call, made, link.address.get(), &mark).await,
             };
             let id = call.id;
             // From here on it can't be given up: the owner is told.
@@ -174,13 +172,21 @@
         self.idle.borrow_mut().retain(Line::is_young);
     }
 
-    async fn carry(&self, call: &Call, to: Option<SocketAddr>, written: &Cell<bool>) -> (Outcome, Bytes) {
+    async fn carry(
+        &self,
+        call: &Call,
+        made: Instant,
+        to: Option<SocketAddr>,
+        written: &Cell<bool>,
+    ) -> (Outcome, Bytes) {
         let never = (Outcome::ConnectFailed, Bytes::new());
         let Some(address) = to else { return never };
         // The link holds both ends, so a place comes.
         let _ = self.places.recv().await;
         let _place = Taken(&self.give_back);
-        let mut line = match self.line(call, address).await {
+        // A place and a dial take their time from the call's, which has no other bound.
+        let left = || Duration::from_millis(call.limit_ms).saturating_sub(made.elapsed());
+        let mut line = match self.line(call, address, left()).await {
             Ok(line) => line,
             Err(e) => {
                 warn!(error = %e, "no connection to the store: {e}");
@@ -188,7 +194,7 @@
             }
         };
         written.set(true);
-        match exchange(&mut line, call).await {
+        match exchange(&mut line, call, left()).await {
             Ok((outcome, body, only)) => {
                 if only {
                     line.last = Some((call.txn, Instant::now()));
@@ -204,7 +210,7 @@
     }
 
     /// A connection for a call: the one that was used last, else a new one.
-    async fn line(&self, call: &Call, address: SocketAddr) -> std::io::Result<Line> {
+    async fn line(&self, call: &Call, address: SocketAddr, limit: Duration) -> std::io::Result<Line> {
         let mut idle = self.idle.take();
         idle.retain(|line| (line.address == address || self.routes.is_some()) && line.is_young());
         let found = match call.fresh {
@@ -224,7 +230,7 @@
             return Ok(line);
         }
         Ok(Line {
-            stream: connect(address, CONNECT, self.tap.as_ref().map(|tap| (tap, Leg::Store))).await?,
+            stream: connect(address, limit, self.tap.as_ref().map(|tap| (tap, Leg::Store))).await?,
             inflow: Inflow::new(),
             address,
             last: None,
@@ -251,10 +257,11 @@
     }
 }
 
-/// Writes a call and reads its reply; true at the end when nothing else came.
-async fn exchange(line: &mut Line, call: &Call) -> Result<(Outcome, Bytes, bool), String> {
+/// Writes a call, with the time left to it, and reads its reply; true at the end when nothing else came.
+async fn exchange(line: &mut Line, call: &Call, left: Duration) -> Result<(Outcome, Bytes, bool), String> {
     let mut out = Vec::new();
-    wire::write_call(&mut out, call.txn.as_str(), call.limit_ms, &call.body);
+    let left_ms = (left.as_millis() as u64).max(1);
+    wire::write_call(&mut out, call.txn.as_str(), left_ms, &call.body);
     let mut stream = &line.stream;
     stream.write_all(&out).await.map_err(|e| e.to_string())?;
     let mut only = true;
--- a/crates/heathspurd/tests/peers.rs
+++ b/crates/heathspurd/tests/peers.rs
@@ -213,3 +213,36 @@
     // A tenth of a second lies between one failure and the next dial.
     assert!(began.elapsed() > Duration::from_millis(500), "{:?}", began.elapsed());
 }
+
+/// The call that comes next: its id and the milliseconds it is waited for.
+fn call(stream: &mut BufReader<TcpStream>) -> (String, u64) {
+    let mut line = String::new();
+    stream.read_line(&mut line).unwrap();
+    let words: Vec<_> = line.split_whitespace().collect();
+    assert_eq!(words[0], "CALL", "{line}");
+    let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+    stream.read_exact(&mut body).unwrap();
+    (words[1].to_string(), words[2].parse().unwrap())
+}
+
+#[test]
+fn a_store_that_is_slow_to_take_connections_is_called() {
+    let store = Full::new();
+    let mut rig = Rig::with(|c| c["store"] = at(&store.listener));
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    client.send(&request(1, Some("k"), b"abc"));
+    let (task, _, _) = vm.apply();
+    let asked = Instant::now();
+    vm.awaits(&task, b"ask");
+    rig.store = store.let_in();
+    let mut stream = BufReader::new(accept(&rig.store));
+    let (id, limit) = call(&mut stream);
+    // The longest patience is 15 s, and what the dial took is gone of it.
+    assert!(Duration::from_millis(limit) + SLOW <= Duration::from_secs(15), "{limit}");
+    assert!(asked.elapsed() > SLOW);
+    stream.get_mut().write_all(format!("{id} OK 2\r\nok\r\n").as_bytes()).unwrap();
+    assert_eq!(vm.command()["verb"], "RESOLVE");
+    vm.value(&task, "complete", b"one");
+    assert_eq!(client.answer().2, b"one");
+}
