Take a notice as read only once the owner has it

Seen in a unit test: with the owner's queue full, the number of a notice that still waited for room counted as read (`last` 2, one event in the queue). A link that ends in that moment, by a failed write or a new address, drops the notice, and the next CONNECT names it as read: it never comes again. The request is then answered late, and its run is started again on the new link though it has ended.

Ruled out: half a line before the break. The number counts with the whole line alone, and each link has a buffer of its own.

To blame: `understand` sets `last` before `events.send(..).await` in `listen`, interpreter.rs.

Now the number is stored after the send. A notice whose send was dropped is in no queue, so it does not come twice.

Test: a_notice_that_the_owner_has_no_room_for_is_not_taken_when_the_link_ends (unit); it fails on the old text (`left: (2, 1)`, `right: (1, 1)`) and passed 20 of 20 times on this one.

--- a/crates/heathspurd/src/interpreter.rs
+++ b/crates/heathspurd/src/interpreter.rs
@@ -137,8 +137,10 @@
         }
         while let Some(end) = wire::line_end(inflow.bytes()) {
             let line = &inflow.bytes()[..end];
+            // It is taken once the owner has it: a link that ends before that is told it again.
+            let mut read = *last;
             let heard = match wire::read(line) {
-                Ok(notice) => understand(notice, last),
+                Ok(notice) => understand(notice, &mut read),
                 Err(_) if line.trim_ascii().is_empty() => None,
                 Err(e) => return format!("a line makes no sense: {e}"),
             };
@@ -147,6 +149,7 @@
                     return "the server has ended".to_string();
                 }
             }
+            *last = read;
             inflow.use_up(end + 1);
         }
         if inflow.bytes().len() > wire::LINE {
