Ask again for a notice whose request can't be read

Seen: a VALUE whose task is no id (a byte of it spoilt or lost) was taken as read and told to nobody: no line in the log, the link stayed, and the request never heard that its run had ended. The page keeps the last 4,000 notices, so a new link brings the notice again, whole.

Ruled out: lines that are no JSON or lack a field; those have the link made again without taking their number (a_line_that_makes_no_sense_has_the_link_made_again).

To blame: `understand` in interpreter.rs takes the number, then drops the notice at `txn?`.

Now such a line ends the link like any other that makes no sense: `the interpreter's link broke after notice N: a notice names no request`.

--- a/crates/heathspurd/src/interpreter.rs
+++ b/crates/heathspurd/src/interpreter.rs
@@ -140,6 +140,12 @@
             // It is taken once the owner has it: a link that ends before that is told it again.
             let mut read = *last;
             let heard = match wire::read(line) {
+                // Its number is not taken either, so it comes again, whole, on the next link.
+                Ok(Notice::Value { task, .. } | Notice::Await { task, .. })
+                    if Txn::read(task.as_bytes()).is_none() =>
+                {
+                    return "a notice names no request".to_string();
+                }
                 Ok(notice) => understand(notice, &mut read),
                 Err(_) if line.trim_ascii().is_empty() => None,
                 Err(e) => return format!("a line makes no sense: {e}"),
--- a/crates/heathspurd/tests/peers.rs
+++ b/crates/heathspurd/tests/peers.rs
@@ -280,3 +280,17 @@
         (began.elapsed() < Duration::from_secs(10)).then_some(())
     });
 }
+
+#[test]
+fn a_notice_whose_request_cannot_be_read_comes_again_on_the_next_link() {
+    let rig = Rig::start();
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    client.send(&request(1, Some("k"), b"abc"));
+    let (task, _, _) = vm.apply();
+    vm.value("9b1f", "complete", b"one");
+    let mut vm = rig.link();
+    assert_eq!(vm.resumed_at, 0);
+    vm.value(&task, "complete", b"one");
+    assert_eq!(client.answer().2, b"one");
+}
