--- a/crates/heathspurd/src/interpreter.rs
+++ b/crates/heathspurd/src/interpreter.rs
@@ -18,6 +18,9 @@
 /// Waits before the link is made again.
 const SHORTEST: Duration = Duration::from_millis(10);
 const LONGEST: Duration = Duration::from_millis(500);
+/// The longest wait for a connection. The system sends a dial's lost packet again after one and three seconds
+/// at the latest, so a shorter wait would never get through to a listener that is this slow.
+const DIAL: Duration = Duration::from_secs(4);
 /// Bytes of commands that may wait to be written before the link counts as broken.
 const MOST: usize = 8 << 20;
 
@@ -59,8 +62,13 @@
     let (mut last, mut wait) = (0, SHORTEST);
     loop {
         let address = target.get();
-        match connect(address, tap.as_ref().map(|tap| (tap, Leg::Interpreter))).await {
-            Ok(stream) => {
+        let dial = connect(address, DIAL, tap.as_ref().map(|tap| (tap, Leg::Interpreter)));
+        let moved = async {
+            target.moved(address).await;
+            None
+        };
+        match future::or(async { Some(dial.await) }, moved).await {
+            Some(Ok(stream)) => {
                 let before = last;
                 let moved = async {
                     target.moved(address).await;
@@ -76,7 +84,8 @@
                     return;
                 }
             }
-            Err(e) => warn!(error = %e, "no link to the interpreter: {e}"),
+            None => {}
+            Some(Err(e)) => warn!(error = %e, "no link to the interpreter: {e}"),
         }
         if target.get() != address {
             wait = SHORTEST;
@@ -128,8 +137,16 @@
         }
         while let Some(end) = wire::line_end(inflow.bytes()) {
             let line = &inflow.bytes()[..end];
+            // It is taken once the owner has it: a link that ends before that is told it again.
+            let mut read = *last;
             let heard = match wire::read(line) {
-                Ok(notice) => understand(notice, last),
+                // Its number is not taken either, so it comes again, whole, on the next link.
+                Ok(Notice::Value { task, .. } | Notice::Await { task, .. })
+                    if Txn::read(task.as_bytes()).is_none() =>
+                {
+                    return "a notice names no request".to_string();
+                }
+                Ok(notice) => understand(notice, &mut read),
                 Err(_) if line.trim_ascii().is_empty() => None,
                 Err(e) => return format!("a line makes no sense: {e}"),
             };
@@ -138,6 +155,7 @@
                     return "the server has ended".to_string();
                 }
             }
+            *last = read;
             inflow.use_up(end + 1);
         }
         if inflow.bytes().len() > wire::LINE {
