Count a key's window from the stamp of the try that ran

Seen: with a first try stamped 30 s ahead of our clock (60 s are taken), a second try with the same stamp ran again once the first had ended, at any window. To blame: route.rs carries `Keep` out as until `clock::unix()` + ttl, and keys.rs took that alone for the end; the rule counts from X-Ingress-Time of the try that ran. With a stamp that is not ahead, our clock when the entry is kept is never before it, so the end was late enough, also where a later held try had kept the entry.

Change: the table remembers when the window of each try in it is over, and a run has its entry kept until then at least, the end included.

Ruled out, each by a test that the old text passes as well: a window of 0 ms that passes while the try runs; a repeat attached over a link that breaks and resumes, with the first caller gone; repeats of a run that ended `unknown` or `ERROR` before it began (they fail and do not run); a repeat of a held try whose caller left; one X-Txn twice (409 while open, new once answered).

--- a/crates/heathspurd/src/keys.rs
+++ b/crates/heathspurd/src/keys.rs
@@ -36,13 +36,13 @@
 
 #[derive(Debug)]
 struct Entry {
-    /// The tries in the request table.
-    live: Vec<RequestId>,
+    /// The tries in the request table, and the Unix microseconds at which the window of each is over.
+    live: Vec<(RequestId, u64)>,
     /// Of these, those that wait for the result.
     waiting: Vec<RequestId>,
     /// The try that holds the entry.
     holder: RequestId,
-    /// Unix microseconds until which it is kept.
+    /// Unix microseconds until which it is kept; 0 while nothing keeps it.
     until: u64,
     run: Run,
     /// What its tries carry, in short, and the Unix microseconds until which that is remembered.
@@ -118,7 +118,7 @@
             }
             entry.known = entry.known.max(known);
             if stands {
-                entry.live.push(id);
+                entry.live.push((id, known));
                 return Ok(Some(match entry.run {
                     Run::None => entry.holder,
                     Run::Going(ran) | Run::Ended(ran, _) => ran,
@@ -133,7 +133,7 @@
         if self.entries.len() >= self.most_entries {
             return Err(Barred::Full);
         }
-        let (live, waiting, run) = (vec![id], Vec::new(), Run::None);
+        let (live, waiting, run) = (vec![(id, known)], Vec::new(), Run::None);
         let fresh = Entry { live, waiting, holder: id, until: 0, run, body, known };
         self.entries.insert(key.clone(), fresh);
         Ok(None)
@@ -156,11 +156,14 @@
         }
     }
 
-    /// A try of it is run.
+    /// A try of it is run. It is kept for the window from when that try reached the machine by its own stamp, the
+    /// window's end included, also where our clock is behind the stamp.
     pub fn runs(&mut self, key: &Key, id: RequestId) {
-        if let Some(entry) = self.entries.get_mut(key) {
-            entry.run = Run::Going(id);
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        if let (Some((_, over)), true) = (entry.live.iter().find(|(try_, _)| *try_ == id), entry.until > 0) {
+            entry.until = entry.until.max(over.saturating_add(1));
         }
+        entry.run = Run::Going(id);
     }
 
     /// The run has ended: the tries that waited for it.
@@ -192,7 +195,7 @@
     /// A try has left the request table. The answer is those that wait for a run which now never comes.
     pub fn leave(&mut self, key: &Key, id: RequestId) -> Vec<RequestId> {
         let Some(entry) = self.entries.get_mut(key) else { return Vec::new() };
-        entry.live.retain(|&other| other != id);
+        entry.live.retain(|&(other, _)| other != id);
         entry.waiting.retain(|&other| other != id);
         let idle = matches!(entry.run, Run::None) && entry.live.len() == entry.waiting.len();
         if idle {
@@ -217,7 +220,7 @@
     fn remove(&mut self, key: &Key) {
         let Some(entry) = self.entries.remove(key) else { return };
         self.holders.remove(&entry.holder);
-        if let Run::Ended(_, Some(result)) = entry.run {
+        if let Run::Ended(_, Some(result)) = &entry.run {
             self.bytes -= result.len();
         }
     }
--- a/crates/heathspurd/tests/unit/keys.rs
+++ b/crates/heathspurd/tests/unit/keys.rs
@@ -81,6 +81,28 @@
     assert_eq!((keys.entries.len(), keys.holders.len(), keys.bytes), (0, 0, 0));
 }
 
+#[test]
+fn an_entry_lasts_for_the_window_from_the_stamp_of_the_try_that_ran() {
+    let mut keys = keys();
+    // Stamped ahead of our clock, by which it is kept; the end of the window belongs to it.
+    keys.link(&key("a"), a_try(1, 1000)).unwrap();
+    keys.link(&key("a"), a_try(2, 20)).unwrap();
+    keys.keep(&key("a"), id(1), 60);
+    keys.keep(&key("a"), id(2), 70);
+    keys.runs(&key("a"), id(1));
+    keys.ended(&key("a"), id(1), None);
+    for n in [1, 2] {
+        keys.leave(&key("a"), id(n));
+    }
+    keys.prune(1_000_000);
+    keys.link(&key("a"), a_try(3, 71)).unwrap();
+    keys.leave(&key("a"), id(3));
+    keys.prune(1_000_000);
+    assert_eq!(keys.link(&key("a"), a_try(4, 1050)), Ok(Some(id(1))));
+    keys.leave(&key("a"), id(4));
+    assert_eq!(keys.link(&key("a"), a_try(5, 1051)), Ok(None));
+}
+
 #[test]
 fn what_is_forgotten_is_new_again() {
     let mut keys = keys();
