Don't run a late-read try of a window whose entry a later try replaced

Seen: a key ran, its window passed, and a later try took the entry's place; a try stamped inside the old window but read only then ran: it was linked to the new entry, or, that one refused and forgotten, to none. To blame: keys.rs `link`, which removed the old entry with all that it knew, while `prune` keeps such entries for as long as a request can be read late.

Change: the new entry remembers which try ran before it and until when; what is stamped before that is linked to the one that ran. It is kept as long as entries are kept for late readers, and not thrown out to make room.

Measured: the unit test fails on the text before (linked to 2, not to 1) and passes now.

--- a/crates/heathspurd/src/keys.rs
+++ b/crates/heathspurd/src/keys.rs
@@ -45,6 +45,9 @@
     /// Unix microseconds until which it is kept; 0 while nothing keeps it.
     until: u64,
     run: Run,
+    /// The try that ran before this entry took the place of its entry, and until when that one was kept: what
+    /// reached the machine before then and is read only now must not run.
+    before: Option<(RequestId, u64)>,
     /// What its tries carry, in short, and the Unix microseconds until which that is remembered.
     body: u64,
     known: u64,
@@ -117,6 +120,10 @@
                 return Err(Barred::OtherBody);
             }
             entry.known = entry.known.max(known);
+            if let Some((ran, _)) = entry.before.filter(|(_, until)| ingress < *until) {
+                entry.live.push((id, known));
+                return Ok(Some(ran));
+            }
             if stands {
                 entry.live.push((id, known));
                 return Ok(Some(match entry.run {
@@ -125,16 +132,21 @@
                 }));
             }
         }
-        self.remove(key);
+        let before = self.remove(key).and_then(|entry| match entry.run {
+            Run::None => entry.before,
+            Run::Going(ran) | Run::Ended(ran, _) => Some((ran, entry.until)),
+        });
         if self.entries.len() >= self.most_entries {
             // What is only remembered makes room.
-            self.drop_where(|entry| entry.live.is_empty() && entry.until == 0);
+            let remembered =
+                |entry: &Entry| entry.live.is_empty() && entry.until == 0 && entry.before.is_none();
+            self.drop_where(remembered);
         }
         if self.entries.len() >= self.most_entries {
             return Err(Barred::Full);
         }
         let (live, waiting, run) = (vec![(id, known)], Vec::new(), Run::None);
-        let fresh = Entry { live, waiting, holder: id, until: 0, run, body, known };
+        let fresh = Entry { live, waiting, holder: id, until: 0, run, before, body, known };
         self.entries.insert(key.clone(), fresh);
         Ok(None)
     }
@@ -208,21 +220,25 @@
     /// Drops entries whose time has been over for long enough.
     pub fn prune(&mut self, now: u64) {
         let late = self.late.0;
-        let over = |entry: &Entry| now >= entry.until.saturating_add(late) && now >= entry.known;
+        let over = |entry: &Entry| {
+            let until = entry.until.max(entry.before.map_or(0, |(_, until)| until));
+            now >= until.saturating_add(late) && now >= entry.known
+        };
         self.drop_where(|entry| entry.live.is_empty() && over(entry));
     }
 
     fn drop_where(&mut self, over: impl Fn(&Entry) -> bool) {
         let over: Vec<_> = self.entries.iter().filter(|(_, e)| over(e)).map(|(key, _)| key.clone()).collect();
-        over.iter().for_each(|key| self.remove(key));
+        over.iter().for_each(|key| drop(self.remove(key)));
     }
 
-    fn remove(&mut self, key: &Key) {
-        let Some(entry) = self.entries.remove(key) else { return };
+    fn remove(&mut self, key: &Key) -> Option<Entry> {
+        let entry = self.entries.remove(key)?;
         self.holders.remove(&entry.holder);
         if let Run::Ended(_, Some(result)) = &entry.run {
             self.bytes -= result.len();
         }
+        Some(entry)
     }
 }
 
--- a/crates/heathspurd/tests/unit/keys.rs
+++ b/crates/heathspurd/tests/unit/keys.rs
@@ -103,6 +103,33 @@
     assert_eq!(keys.link(&key("a"), a_try(5, 1051)), Ok(None));
 }
 
+#[test]
+fn a_try_of_a_window_that_is_read_after_a_later_try_took_its_place_does_not_run() {
+    let mut keys = keys();
+    keys.link(&key("a"), a_try(1, 5)).unwrap();
+    keys.keep(&key("a"), id(1), 60);
+    keys.runs(&key("a"), id(1));
+    keys.ended(&key("a"), id(1), None);
+    keys.leave(&key("a"), id(1));
+    // This one is new: past the window. It is refused, and with it goes its entry.
+    assert_eq!(keys.link(&key("a"), a_try(2, 61)), Ok(None));
+    keys.keep(&key("a"), id(2), 120);
+    assert_eq!(keys.link(&key("a"), a_try(3, 54)), Ok(Some(id(1))));
+    keys.leave(&key("a"), id(2));
+    keys.forget(id(2));
+    keys.leave(&key("a"), id(3));
+    keys.prune(1_000_000);
+    // What makes room leaves it.
+    keys.link(&key("b"), a_try(4, 62)).unwrap();
+    assert_eq!(keys.link(&key("c"), a_try(5, 62)), Err(Barred::Full));
+    assert_eq!(keys.link(&key("a"), a_try(6, 55)), Ok(Some(id(1))));
+    keys.leave(&key("a"), id(6));
+    assert_eq!(keys.link(&key("a"), a_try(7, 60)), Ok(None));
+    keys.leave(&key("a"), id(7));
+    keys.prune(2_000_000);
+    assert_eq!(keys.entries.len(), 1);
+}
+
 #[test]
 fn what_is_forgotten_is_new_again() {
     let mut keys = keys();
