Give a result's bytes back when another run takes its place

Seen: where reads of one row are linked (fresh-s above 0) each of them runs, and one that begins after another has ended replaced its result without giving its bytes back; once the sum reaches a quarter of the memory no result of a keyed request is kept any more, and all their repeats fail. To blame: keys.rs `runs`. Such a read's result also stayed, with nobody able to ask for it, until its window was over.

Ruled out: keyed requests. Their entry has one run, which goes from going to ended once, also where a halted run starts over.

Change: `runs` gives the bytes back first, and the last try to leave an entry that nothing keeps takes the result with it.

--- a/crates/heathspurd/src/keys.rs
+++ b/crates/heathspurd/src/keys.rs
@@ -34,6 +34,16 @@
     Ended(RequestId, Option<Bytes>),
 }
 
+impl Run {
+    /// Bytes of the result that is kept.
+    fn result_len(&self) -> usize {
+        match self {
+            Run::Ended(_, Some(result)) => result.len(),
+            Run::None | Run::Going(_) | Run::Ended(_, None) => 0,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     /// The tries in the request table, and the Unix microseconds at which the window of each is over.
@@ -175,6 +185,7 @@
         if let (Some((_, over)), true) = (entry.live.iter().find(|(try_, _)| *try_ == id), entry.until > 0) {
             entry.until = entry.until.max(over.saturating_add(1));
         }
+        self.bytes -= entry.run.result_len();
         entry.run = Run::Going(id);
     }
 
@@ -209,6 +220,11 @@
         let Some(entry) = self.entries.get_mut(key) else { return Vec::new() };
         entry.live.retain(|&(other, _)| other != id);
         entry.waiting.retain(|&other| other != id);
+        if entry.live.is_empty() && entry.until == 0 {
+            // Nobody can ask for its result any more.
+            self.bytes -= entry.run.result_len();
+            entry.run = Run::None;
+        }
         let idle = matches!(entry.run, Run::None) && entry.live.len() == entry.waiting.len();
         if idle {
             std::mem::take(&mut entry.waiting)
@@ -235,9 +251,7 @@
     fn remove(&mut self, key: &Key) -> Option<Entry> {
         let entry = self.entries.remove(key)?;
         self.holders.remove(&entry.holder);
-        if let Run::Ended(_, Some(result)) = &entry.run {
-            self.bytes -= result.len();
-        }
+        self.bytes -= entry.run.result_len();
         Some(entry)
     }
 }
--- a/crates/heathspurd/tests/unit/keys.rs
+++ b/crates/heathspurd/tests/unit/keys.rs
@@ -103,6 +103,25 @@
     assert_eq!(keys.link(&key("a"), a_try(5, 1051)), Ok(None));
 }
 
+#[test]
+fn what_runs_again_gives_back_its_first_result() {
+    let mut keys = keys();
+    let result = Bytes::from_static(b"sevenby");
+    for n in [1, 2, 3] {
+        keys.link(&key("a"), a_try(n, 5)).unwrap();
+    }
+    for n in [1, 2, 3] {
+        keys.runs(&key("a"), id(n));
+        assert!(keys.ended(&key("a"), id(n), Some(&result)).is_empty());
+        assert_eq!(keys.bytes, 7);
+    }
+    for n in [1, 2, 3] {
+        keys.leave(&key("a"), id(n));
+    }
+    // Nothing keeps it, so nobody can ask for the result any more.
+    assert_eq!(keys.bytes, 0);
+}
+
 #[test]
 fn a_try_of_a_window_that_is_read_after_a_later_try_took_its_place_does_not_run() {
     let mut keys = keys();
