Fail repeats at once when the run that they wait for never ends

Seen: a try that is given up while its run is halted (paused, or back in the hold) leaves the table with its run still going there: those that waited for it, and all later repeats, waited until the module gave them up at their due time. The same where a repeat is attached and nobody is left who could run. No rule is broken by it, as they are answered in time, but each holds memory and a connection until then. To blame: keys.rs `leave`, which woke those that wait only where nothing had run, and `attach`.

Change: a run whose try leaves has ended without a result; attaching where all tries wait fails at once.

The seeded test joins: tries of three keys with windows of 0 to 300 us, stamps behind and ahead, held, run, ended, given up and pruned in any order: no key runs twice within the window from the stamp of the try that ran, the bytes are those of the results in it, and whoever waits does so for what runs or may run.

--- a/crates/heathspurd/src/keys.rs
+++ b/crates/heathspurd/src/keys.rs
@@ -208,6 +208,8 @@
         match &entry.run {
             Run::Ended(_, Some(result)) => Attached::Result(result.clone()),
             Run::Ended(_, None) => Attached::Failed,
+            // All others wait as well, so nobody is left to run.
+            Run::None if entry.live.len() <= entry.waiting.len() + 1 => Attached::Failed,
             Run::None | Run::Going(_) => {
                 entry.waiting.push(id);
                 Attached::Waits
@@ -225,8 +227,13 @@
             self.bytes -= entry.run.result_len();
             entry.run = Run::None;
         }
+        // One that is given up while its run is halted never ends.
+        let given_up = matches!(entry.run, Run::Going(ran) if ran == id);
+        if given_up {
+            entry.run = Run::Ended(id, None);
+        }
         let idle = matches!(entry.run, Run::None) && entry.live.len() == entry.waiting.len();
-        if idle {
+        if idle || given_up {
             std::mem::take(&mut entry.waiting)
         } else {
             Vec::new()
--- a/crates/heathspurd/tests/unit/keys.rs
+++ b/crates/heathspurd/tests/unit/keys.rs
@@ -122,6 +122,30 @@
     assert_eq!(keys.bytes, 0);
 }
 
+#[test]
+fn those_that_wait_for_a_run_that_is_given_up_halted_hear_of_it() {
+    let mut keys = keys();
+    keys.link(&key("a"), a_try(1, 5)).unwrap();
+    keys.keep(&key("a"), id(1), 100);
+    keys.runs(&key("a"), id(1));
+    keys.link(&key("a"), a_try(2, 6)).unwrap();
+    assert_eq!(keys.attach(&key("a"), id(2)), Attached::Waits);
+    assert_eq!(keys.leave(&key("a"), id(1)), vec![id(2)]);
+    keys.leave(&key("a"), id(2));
+    assert_eq!(keys.link(&key("a"), a_try(3, 7)), Ok(Some(id(1))));
+    assert_eq!(keys.attach(&key("a"), id(3)), Attached::Failed);
+}
+
+#[test]
+fn waiting_where_nobody_is_left_to_run_fails() {
+    let mut keys = keys();
+    keys.link(&key("a"), a_try(1, 5)).unwrap();
+    keys.keep(&key("a"), id(1), 100);
+    keys.leave(&key("a"), id(1));
+    assert_eq!(keys.link(&key("a"), a_try(2, 6)), Ok(Some(id(1))));
+    assert_eq!(keys.attach(&key("a"), id(2)), Attached::Failed);
+}
+
 #[test]
 fn a_try_of_a_window_that_is_read_after_a_later_try_took_its_place_does_not_run() {
     let mut keys = keys();
@@ -142,6 +166,7 @@
     keys.link(&key("b"), a_try(4, 62)).unwrap();
     assert_eq!(keys.link(&key("c"), a_try(5, 62)), Err(Barred::Full));
     assert_eq!(keys.link(&key("a"), a_try(6, 55)), Ok(Some(id(1))));
+    assert_eq!(keys.attach(&key("a"), id(6)), Attached::Failed);
     keys.leave(&key("a"), id(6));
     assert_eq!(keys.link(&key("a"), a_try(7, 60)), Ok(None));
     keys.leave(&key("a"), id(7));
@@ -149,6 +174,129 @@
     assert_eq!(keys.entries.len(), 1);
 }
 
+/// One request's tries as the module knows them.
+#[derive(Default)]
+struct Group {
+    ran: bool,
+    held: Vec<RequestId>,
+}
+
+/// Draws from 0 to `end` exclusive.
+fn draw(state: &mut u64, end: u64) -> u64 {
+    *state = state.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+    (*state >> 33) % end
+}
+
+/// Tries of a few keys come with stamps around our clock, are held, run, end, wait and are dropped in any order,
+/// with the table pruned at any time.
+#[test]
+fn no_key_runs_twice_within_the_window_from_the_stamp_of_the_try_that_ran() {
+    let mut ran_twice_later = 0;
+    for seed in 0..300 {
+        let state = &mut (seed + 1);
+        let window = [0, 1, 40, 300][draw(state, 4) as usize];
+        let late = 200;
+        let mut keys = Keys::new(64, 100, Span(late));
+        let names = [key("a"), key("b"), key("c")];
+        let mut now = 10_000;
+        let mut next = 1;
+        let mut groups: BTreeMap<RequestId, Group> = BTreeMap::new();
+        let mut roots: BTreeMap<RequestId, RequestId> = BTreeMap::new();
+        // Number, key, stamp.
+        let mut held: Vec<(RequestId, usize, u64)> = Vec::new();
+        let mut running: Vec<(RequestId, usize)> = Vec::new();
+        let mut waiting: Vec<(RequestId, usize)> = Vec::new();
+        let mut runs: [Vec<u64>; 3] = Default::default();
+        for _ in 0..400 {
+            now += draw(state, 30);
+            match draw(state, 8) {
+                0..=2 => {
+                    let (n, at) = (id(next), draw(state, 3) as usize);
+                    next += 1;
+                    let stamp = now + draw(state, 4) * draw(state, 150) - draw(state, late);
+                    let this = Try { id: n, ingress: stamp, body: 7, window: Span(window) };
+                    let repeats = keys.link(&names[at], this).unwrap();
+                    let root = repeats.map_or(n, |prior| roots[&prior]);
+                    roots.insert(n, root);
+                    let group = groups.entry(root).or_default();
+                    if !group.ran {
+                        group.held.push(n);
+                        keys.keep(&names[at], n, now + window);
+                        held.push((n, at, stamp));
+                    } else if keys.attach(&names[at], n) == Attached::Waits {
+                        waiting.push((n, at));
+                    } else {
+                        keys.leave(&names[at], n);
+                    }
+                }
+                3 if !held.is_empty() => {
+                    let (n, at, stamp) = held.swap_remove(draw(state, held.len() as u64) as usize);
+                    groups.get_mut(&roots[&n]).unwrap().ran = true;
+                    keys.runs(&names[at], n);
+                    for &before in &runs[at] {
+                        let within = before <= stamp && stamp <= before + window;
+                        assert!(!within, "seed {seed}: run at {stamp}, which had run at {before} ({window})");
+                        ran_twice_later += 1;
+                    }
+                    runs[at].push(stamp);
+                    running.push((n, at));
+                    // Its repeats that are held wait for it from now on.
+                    let (repeats, others) = held.drain(..).partition(|(m, ..)| roots[m] == roots[&n]);
+                    held = others;
+                    for (m, at, _) in repeats as Vec<_> {
+                        assert_eq!(keys.attach(&names[at], m), Attached::Waits);
+                        waiting.push((m, at));
+                    }
+                }
+                4 | 5 if !running.is_empty() => {
+                    let (n, at) = running.swap_remove(draw(state, running.len() as u64) as usize);
+                    let result = Bytes::from_static(b"result");
+                    // Some are given up while they are halted.
+                    let mut told = match draw(state, 4) {
+                        0 => Vec::new(),
+                        1 => keys.ended(&names[at], n, None),
+                        _ => keys.ended(&names[at], n, Some(&result)),
+                    };
+                    told.extend(keys.leave(&names[at], n));
+                    for m in told {
+                        let place = waiting.iter().position(|(other, _)| *other == m).unwrap();
+                        let (m, at) = waiting.swap_remove(place);
+                        keys.leave(&names[at], m);
+                    }
+                }
+                6 if !held.is_empty() => {
+                    let (n, at, _) = held.swap_remove(draw(state, held.len() as u64) as usize);
+                    for m in keys.leave(&names[at], n) {
+                        waiting.retain(|(other, _)| *other != m);
+                        keys.leave(&names[at], m);
+                    }
+                    let group = groups.get_mut(&roots[&n]).unwrap();
+                    group.held.retain(|other| *other != n);
+                    if group.held.is_empty() {
+                        // The module forgets what it kept last.
+                        let kept = keys.holders.keys().copied().find(|holder| roots[holder] == roots[&n]);
+                        kept.into_iter().for_each(|holder| keys.forget(holder));
+                    }
+                }
+                _ => keys.prune(now),
+            }
+            let kept: usize = keys
+                .entries
+                .values()
+                .map(|entry| match &entry.run {
+                    Run::Ended(_, Some(result)) => result.len(),
+                    _ => 0,
+                })
+                .sum();
+            assert_eq!(keys.bytes, kept, "seed {seed}");
+            // Whoever waits, waits for what runs or may yet run.
+            let may_end = |at: usize| running.iter().any(|r| r.1 == at) || held.iter().any(|h| h.1 == at);
+            assert!(waiting.iter().all(|(_, at)| may_end(*at)), "seed {seed}");
+        }
+    }
+    assert!(ran_twice_later > 0, "no key came again after its window");
+}
+
 #[test]
 fn what_is_forgotten_is_new_again() {
     let mut keys = keys();
