--- a/crates/heathspurd/src/keys.rs
+++ b/crates/heathspurd/src/keys.rs
@@ -34,17 +34,30 @@
     Ended(RequestId, Option<Bytes>),
 }
 
+impl Run {
+    /// Bytes of the result that is kept.
+    fn result_len(&self) -> usize {
+        match self {
+            Run::Ended(_, Some(result)) => result.len(),
+            Run::None | Run::Going(_) | Run::Ended(_, None) => 0,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
-    /// The tries in the request table.
-    live: Vec<RequestId>,
+    /// The tries in the request table, and the Unix microseconds at which the window of each is over.
+    live: Vec<(RequestId, u64)>,
     /// Of these, those that wait for the result.
     waiting: Vec<RequestId>,
     /// The try that holds the entry.
     holder: RequestId,
-    /// Unix microseconds until which it is kept.
+    /// Unix microseconds until which it is kept; 0 while nothing keeps it.
     until: u64,
     run: Run,
+    /// The try that ran before this entry took the place of its entry, and until when that one was kept: what
+    /// reached the machine before then and is read only now must not run.
+    before: Option<(RequestId, u64)>,
     /// What its tries carry, in short, and the Unix microseconds until which that is remembered.
     body: u64,
     known: u64,
@@ -117,24 +130,33 @@
                 return Err(Barred::OtherBody);
             }
             entry.known = entry.known.max(known);
+            if let Some((ran, _)) = entry.before.filter(|(_, until)| ingress < *until) {
+                entry.live.push((id, known));
+                return Ok(Some(ran));
+            }
             if stands {
-                entry.live.push(id);
+                entry.live.push((id, known));
                 return Ok(Some(match entry.run {
                     Run::None => entry.holder,
                     Run::Going(ran) | Run::Ended(ran, _) => ran,
                 }));
             }
         }
-        self.remove(key);
+        let before = self.remove(key).and_then(|entry| match entry.run {
+            Run::None => entry.before,
+            Run::Going(ran) | Run::Ended(ran, _) => Some((ran, entry.until)),
+        });
         if self.entries.len() >= self.most_entries {
             // What is only remembered makes room.
-            self.drop_where(|entry| entry.live.is_empty() && entry.until == 0);
+            let remembered =
+                |entry: &Entry| entry.live.is_empty() && entry.until == 0 && entry.before.is_none();
+            self.drop_where(remembered);
         }
         if self.entries.len() >= self.most_entries {
             return Err(Barred::Full);
         }
-        let (live, waiting, run) = (vec![id], Vec::new(), Run::None);
-        let fresh = Entry { live, waiting, holder: id, until: 0, run, body, known };
+        let (live, waiting, run) = (vec![(id, known)], Vec::new(), Run::None);
+        let fresh = Entry { live, waiting, holder: id, until: 0, run, before, body, known };
         self.entries.insert(key.clone(), fresh);
         Ok(None)
     }
@@ -156,11 +178,15 @@
         }
     }
 
-    /// A try of it is run.
+    /// A try of it is run. It is kept for the window from when that try reached the machine by its own stamp, the
+    /// window's end included, also where our clock is behind the stamp.
     pub fn runs(&mut self, key: &Key, id: RequestId) {
-        if let Some(entry) = self.entries.get_mut(key) {
-            entry.run = Run::Going(id);
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        if let (Some((_, over)), true) = (entry.live.iter().find(|(try_, _)| *try_ == id), entry.until > 0) {
+            entry.until = entry.until.max(over.saturating_add(1));
         }
+        self.bytes -= entry.run.result_len();
+        entry.run = Run::Going(id);
     }
 
     /// The run has ended: the tries that waited for it.
@@ -182,6 +208,8 @@
         match &entry.run {
             Run::Ended(_, Some(result)) => Attached::Result(result.clone()),
             Run::Ended(_, None) => Attached::Failed,
+            // All others wait as well, so nobody is left to run.
+            Run::None if entry.live.len() <= entry.waiting.len() + 1 => Attached::Failed,
             Run::None | Run::Going(_) => {
                 entry.waiting.push(id);
                 Attached::Waits
@@ -192,10 +220,20 @@
     /// A try has left the request table. The answer is those that wait for a run which now never comes.
     pub fn leave(&mut self, key: &Key, id: RequestId) -> Vec<RequestId> {
         let Some(entry) = self.entries.get_mut(key) else { return Vec::new() };
-        entry.live.retain(|&other| other != id);
+        entry.live.retain(|&(other, _)| other != id);
         entry.waiting.retain(|&other| other != id);
+        if entry.live.is_empty() && entry.until == 0 {
+            // Nobody can ask for its result any more.
+            self.bytes -= entry.run.result_len();
+            entry.run = Run::None;
+        }
+        // One that is given up while its run is halted never ends.
+        let given_up = matches!(entry.run, Run::Going(ran) if ran == id);
+        if given_up {
+            entry.run = Run::Ended(id, None);
+        }
         let idle = matches!(entry.run, Run::None) && entry.live.len() == entry.waiting.len();
-        if idle {
+        if idle || given_up {
             std::mem::take(&mut entry.waiting)
         } else {
             Vec::new()
@@ -205,21 +243,23 @@
     /// Drops entries whose time has been over for long enough.
     pub fn prune(&mut self, now: u64) {
         let late = self.late.0;
-        let over = |entry: &Entry| now >= entry.until.saturating_add(late) && now >= entry.known;
+        let over = |entry: &Entry| {
+            let until = entry.until.max(entry.before.map_or(0, |(_, until)| until));
+            now >= until.saturating_add(late) && now >= entry.known
+        };
         self.drop_where(|entry| entry.live.is_empty() && over(entry));
     }
 
     fn drop_where(&mut self, over: impl Fn(&Entry) -> bool) {
         let over: Vec<_> = self.entries.iter().filter(|(_, e)| over(e)).map(|(key, _)| key.clone()).collect();
-        over.iter().for_each(|key| self.remove(key));
+        over.iter().for_each(|key| drop(self.remove(key)));
     }
 
-    fn remove(&mut self, key: &Key) {
-        let Some(entry) = self.entries.remove(key) else { return };
+    fn remove(&mut self, key: &Key) -> Option<Entry> {
+        let entry = self.entries.remove(key)?;
         self.holders.remove(&entry.holder);
-        if let Run::Ended(_, Some(result)) = entry.run {
-            self.bytes -= result.len();
-        }
+        self.bytes -= entry.run.result_len();
+        Some(entry)
     }
 }
 
