Tell no run again before the notices that were missed have come

Seen: when the interpreter is slow after a broken link (its gauges stay unanswered for 1 s after `BANNER`), all that runs was told again at the end of that second, though notices that were missed may still be on their way. A run that has ended meanwhile is started a second time by that, also a keyed one; a `RESOLVE` told again can meet the run's next call.

Ruled out: a time-out of our own making. After a standstill of the process what has arrived is read before the time-out is looked at (`yield_now` in work.rs), so the gauges are seen first.

To blame: `take_time` in work.rs called `resume` at the time-out, and `resume` in hear.rs told every running request.

Now what was told on a link that broke is in doubt. At the time-out (`LinkState::Late`) only what no link was told is told, and new work goes on. The first answer about gauges on the new link, or its refusal, proves that all missed notices are in, as commands are answered in order: what still runs is told again then. If neither comes, such a request is answered by its due time and not run again.

Left: between that answer and the repeated `RESOLVE` the run may still take up its next call; nothing in `RESOLVE` names the call.

--- a/crates/heathspur-rig/src/scripted.rs
+++ b/crates/heathspur-rig/src/scripted.rs
@@ -281,7 +281,8 @@
         self.reader.get_mut().write_all(text).unwrap();
     }
 
-    fn line(&mut self) -> Value {
+    /// The next command, of whatever kind.
+    pub fn line(&mut self) -> Value {
         let mut line = String::new();
         assert!(self.reader.read_line(&mut line).unwrap() > 0, "the link was closed");
         serde_json::from_str(&line).unwrap()
@@ -302,7 +303,9 @@
 
     /// The next command that is not about gauges; those stay unanswered.
     pub fn until_command(&mut self) -> Value {
+        let start = Instant::now();
         loop {
+            assert!(start.elapsed() < NEVER, "no command came but for gauges");
             let command = self.line();
             if command["verb"] != "TOP" {
                 return command;
--- a/crates/heathspurd/src/hear.rs
+++ b/crates/heathspurd/src/hear.rs
@@ -31,6 +31,9 @@
                 self.link = LinkState::Resuming(nonce, self.now + RESUME);
             }
             Heard::Down => {
+                if self.link.is_up() {
+                    self.doubt();
+                }
                 self.link = LinkState::Down;
                 for due in std::mem::take(&mut self.due) {
                     self.events.push(Event::Timer { token: due.token, gauges: Gauges::default() });
@@ -40,6 +43,10 @@
                 self.resume();
             }
             Heard::Gauges { nonce, readings } => {
+                // Questions are answered in order, after all that was missed.
+                if self.link == LinkState::Late {
+                    self.resume();
+                }
                 if let Some(at) = self.due.iter().position(|due| due.nonce == nonce) {
                     let gauges = self.desk.names.meters.read(&readings);
                     if let Some(due) = self.due.remove(at) {
@@ -61,6 +68,9 @@
                 }
             }
             Heard::Refused { command, txn } => {
+                if command == "TOP" && matches!(self.link, LinkState::Resuming(..) | LinkState::Late) {
+                    self.resume();
+                }
                 let id = txn.and_then(|txn| self.table.named(&txn));
                 let work = id.and_then(|id| self.table.get(id)).map(|e| &e.work);
                 let started = matches!(work, Some(Work::Running { told: Told::Apply, .. }));
@@ -73,13 +83,34 @@
     }
 
     /// All notices that were missed are in: what still runs is told again.
-    pub(crate) fn resume(&mut self) {
-        self.link = LinkState::Up;
-        for id in self.table.find(|entry| matches!(entry.work, Work::Running { .. })) {
+    fn resume(&mut self) {
+        let late = std::mem::replace(&mut self.link, LinkState::Up) == LinkState::Late;
+        let again = |work: &Work| matches!(work, Work::Running { in_doubt, .. } if *in_doubt || !late);
+        for id in self.table.find(|entry| again(&entry.work)) {
+            if let Some(Work::Running { in_doubt, .. }) = self.table.get_mut(id).map(|e| &mut e.work) {
+                *in_doubt = false;
+            }
+            self.tell(id);
+        }
+    }
+
+    /// Notices that were missed may yet come: only what no link was told before is told.
+    pub(crate) fn resume_late(&mut self) {
+        self.link = LinkState::Late;
+        for id in self.table.find(|entry| matches!(entry.work, Work::Running { in_doubt: false, .. })) {
             self.tell(id);
         }
     }
 
+    /// The link broke: the interpreter may have taken what it was told, or not.
+    fn doubt(&mut self) {
+        for id in self.table.find(|entry| matches!(entry.work, Work::Running { .. })) {
+            if let Some(Work::Running { in_doubt, .. }) = self.table.get_mut(id).map(|e| &mut e.work) {
+                *in_doubt = true;
+            }
+        }
+    }
+
     /// A run is over, or stopped and to go on later.
     pub(crate) fn run_ended(&mut self, id: RequestId, end: End, body: Bytes) {
         let Some(entry) = self.table.get_mut(id) else { return };
--- a/crates/heathspurd/src/owner.rs
+++ b/crates/heathspurd/src/owner.rs
@@ -23,12 +23,15 @@
     Down,
     /// Connected; once this question is answered, or it is so late, all notices that were missed have come.
     Resuming(u64, Time),
+    /// It is late, and nothing about gauges was heard on this link. What was told on an earlier one is not
+    /// told again: it may have ended, and would run twice.
+    Late,
     Up,
 }
 
 impl LinkState {
     pub fn is_up(self) -> bool {
-        self == LinkState::Up
+        matches!(self, LinkState::Up | LinkState::Late)
     }
 }
 
--- a/crates/heathspurd/src/send.rs
+++ b/crates/heathspurd/src/send.rs
@@ -18,7 +18,7 @@
             Work::Paused { since } => (since, Told::Continue),
             _ => return,
         };
-        entry.work = Work::Running { since, told, halting: Halting::No };
+        entry.work = Work::Running { since, told, halting: Halting::No, in_doubt: false };
         if let Some(key) = &entry.key {
             self.keys.runs(key, id);
         }
@@ -56,7 +56,7 @@
         let (Work::AtCall { since, need } | Work::Calling { since, need, .. }) = &entry.work else {
             return;
         };
-        entry.work = Work::Running { since: *since, told: told(need), halting: Halting::No };
+        entry.work = Work::Running { since: *since, told: told(need), halting: Halting::No, in_doubt: false };
         self.tell(id);
     }
 
--- a/crates/heathspurd/src/table.rs
+++ b/crates/heathspurd/src/table.rs
@@ -40,6 +40,8 @@
         since: Time,
         told: Told,
         halting: Halting,
+        /// It was told on a link that broke, so what is not heard yet may be that it has ended.
+        in_doubt: bool,
     },
     Paused {
         since: Time,
--- a/crates/heathspurd/src/work.rs
+++ b/crates/heathspurd/src/work.rs
@@ -91,7 +91,7 @@
         let leave = self.leaving.map(|(shut, end)| if self.desk.shutting.is_closed() { end } else { shut });
         let resume = match self.link {
             LinkState::Resuming(_, until) => Some(until),
-            LinkState::Up | LinkState::Down => None,
+            LinkState::Up | LinkState::Late | LinkState::Down => None,
         };
         [timer, call, gauges, leave, resume, Some(self.prune_at)].into_iter().flatten().min()
     }
@@ -177,7 +177,7 @@
             }
         }
         if matches!(self.link, LinkState::Resuming(_, until) if until <= self.now) {
-            self.resume();
+            self.resume_late();
         }
         if self.prune_at <= self.now {
             self.prune_at = self.now + PRUNE;
--- a/crates/heathspurd/tests/peers.rs
+++ b/crates/heathspurd/tests/peers.rs
@@ -294,3 +294,37 @@
     vm.value(&task, "complete", b"one");
     assert_eq!(client.answer().2, b"one");
 }
+
+/// A server whose one keyed request was told on a link that broke. The interpreter is slow: on the new link its
+/// gauges do not come in the time that they are waited for, nor does what was missed before them.
+fn late_link() -> (Rig, Vm, Client, Value) {
+    let rig = Rig::start();
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    client.send(&request(1, Some("k"), b"abc"));
+    vm.apply();
+    drop(vm);
+    let mut vm = rig.link();
+    assert_eq!(vm.line()["verb"], "TOP");
+    // Timers ask again once the first question is no longer waited for.
+    let next = vm.line();
+    assert_eq!(next["verb"], "TOP", "{next}");
+    (rig, vm, client, next["nonce"].clone())
+}
+
+#[test]
+fn a_run_that_may_have_ended_is_not_told_again_while_missed_notices_may_come() {
+    let (_rig, mut vm, mut client, _) = late_link();
+    vm.value("0000000000000001", "complete", b"one");
+    assert_eq!(client.answer().2, b"one");
+}
+
+#[test]
+fn a_run_is_told_again_once_late_gauges_show_that_no_notice_was_missed() {
+    let (_rig, mut vm, mut client, nonce) = late_link();
+    vm.say(json!({"verb": "TOPS", "nonce": nonce, "readings": [0.1, 0, 0.1, 2]}));
+    let again = vm.until_command();
+    assert_eq!((again["verb"].as_str(), again["task"].as_str()), (Some("APPLY"), Some("0000000000000001")));
+    vm.value("0000000000000001", "complete", b"one");
+    assert_eq!(client.answer().2, b"one");
+}
