Round no place on a cold core up past the crowd that it survives

Cause: `dispatch` stopped only once runs and calls reached 0.8 of the crowd, so the last place was rounded up. On one cold core that survives 1.3 runs a second one was started while the first stood at its call; the call came back and two ran. Cores alone were never over: `cap` is rounded down, and with no calls that bound comes first.

Change: a run is started only where it, the runs and those at calls stay within the crowd itself. It acts where the ceiling and the crowd have no whole number between them, with crowds under four.

Measured: the new test sees 2 runs without the change, 1 with it.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -478,7 +478,10 @@
         loop {
             let ceiling = self.crowd() * CROWD_PART;
             let cap = self.cap.min(ceiling).max(1.0).floor() as usize;
-            if self.on_core >= cap + self.on_disk || (self.on_core + self.at_calls) as f64 >= ceiling {
+            // What waits below comes back to the cores: where they survive but one or two, a place rounded up
+            // past the ceiling is one too many.
+            let all = (self.on_core + self.at_calls) as f64;
+            if self.on_core >= cap + self.on_disk || all >= ceiling || all + 1.0 > self.crowd() {
                 return;
             }
             // With none at a call nobody comes back to the cores: waiting for room there would never end.
--- a/crates/heathspur/tests/guards.rs
+++ b/crates/heathspur/tests/guards.rs
@@ -319,6 +319,21 @@
     assert!(b.running().len() <= 5, "{}", b.running().len());
 }
 
+#[test]
+fn a_returning_call_finds_its_place_on_a_cold_core() {
+    let mut set = settings();
+    (set.cores, set.cold, set.start_capacity, set.fall_multiple) = (1, true, 0.15, 3.0);
+    let mut b = Bench::new(set);
+    b.arrive(request(1, 0), 1);
+    b.needs_call(1);
+    b.arrive(request(2, 2), 2);
+    b.called(1, Outcome::Ok);
+    // 1 core x (1 + 2 x 0.15) = 1.3 survivable.
+    assert_eq!(b.running().len(), 1, "{:?}", b.running());
+    b.done(1, Outcome::Ok);
+    assert_eq!(b.running(), [2], "the next takes the place that is free");
+}
+
 #[test]
 fn memory_sheds_the_newest_of_the_least_worth() {
     let mut set = settings();
