Pay for calls that were turned away, so that a fleet doesn't come back in step

Cause: in the new loop of 30 instances a dependency turned all calls away from second 8 to 14. `call_ended` took only the time in hand off the pace, two milliseconds, and let the pace grow at such ends too.

Change: a call turned away takes a usual call time off the pace, and the pace doesn't grow by it.

What did not help: paying alone, with growth as it was, left 1.06 of the sum in hand at parts of 0.05.

Advice was looked at too and left: 30 instances that all refuse at once ask for the same span, and callers that heed it are back in one tenth of a second once; from the third second on no tenth was empty and the most read was 1.5 of the mean.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -698,13 +698,16 @@
         let lingers = if matches!(outcome, Outcome::Timeout | Outcome::Cancelled) { linger } else { 0.0 };
         let until = self.now + Span::from_secs(lingers + over);
         self.spent.push_back((until, (self.now - since).secs() + lingers));
-        self.pace -= lingers;
-        // Growth of a part of a call is for calls held back.
+        // One that was turned away is paid for as a usual one: else all save up while the dependency is full,
+        // and are back at it in step. Hurts where it is full for single calls only.
+        let unpaid = (self.call_time.or(linger) - (self.now - since).secs()).max(0.0);
+        self.pace -= lingers + if outcome == Outcome::Full { unpaid } else { 0.0 };
+        // Growth of a part of a call is for calls held back, and for none that was turned away.
         let (step, binds) =
             ((PART_LEAST * part).min(1.0), self.call_cap >= 1.0 || 1 + self.calling < self.at_calls);
         if self.call_time.value > CALL_STRETCH * self.call_quiet.value {
             self.call_cap = (self.call_cap * CALL_CUT).max(step);
-        } else if binds && self.calling as f64 + 2.0 > self.call_cap {
+        } else if binds && outcome != Outcome::Full && self.calling as f64 + 2.0 > self.call_cap {
             self.call_cap = (self.call_cap + step * step / self.call_cap).min(PART_USED * part);
         }
     }
--- a/crates/heathspur/tests/fleet.rs
+++ b/crates/heathspur/tests/fleet.rs
@@ -465,6 +465,19 @@
     }
 }
 
+#[test]
+fn calls_turned_away_are_paid_for_and_come_back_out_of_step() {
+    for (part, call) in [(0.05, 0.4), (0.25, 0.4)] {
+        holds(&Plan { full: (8.0, 14.0), ..Plan::new(30, part, call) }, 2);
+    }
+    for (part, call) in PARTS {
+        let fleet = Fleet::play(Plan { full: (8.0, 14.0), ..Plan::new(30, part, call) });
+        let (hands, _) = fleet.most(OVER);
+        assert!(hands <= fleet.sum(), "{hands:.2} of {:.2}: {:?}", fleet.sum(), fleet.plan);
+        assert!(fleet.calls.iter().any(|c| c.from >= 14.0), "no call came back: {:?}", fleet.plan);
+    }
+}
+
 #[test]
 fn a_lone_start_waits_for_its_first_call_no_longer_than_its_part_pays_for_one() {
     for part in [0.1, 0.25, 0.5, 1.0, 2.5] {
