--- a/crates/heathspur-rig/src/fleet.rs
+++ b/crates/heathspur-rig/src/fleet.rs
@@ -124,8 +124,9 @@
     /// Reads what every running server has logged since.
     pub fn read(&mut self) {
         for server in &mut self.servers {
-            let Some(rig) = &server.rig else { continue };
-            while let Ok(line) = rig.lines.try_recv() {
+            let Some(rig) = &mut server.rig else { continue };
+            let early = std::mem::take(&mut rig.early);
+            for line in early.into_iter().chain(rig.lines.try_iter()) {
                 server.dropped += line.contains("datagrams or updates dropped") as usize;
                 if let Some(said) = line.split("failover: ").nth(1) {
                     server.failover.push((Instant::now(), said.to_string()));
--- a/crates/heathspur-rig/src/scripted.rs
+++ b/crates/heathspur-rig/src/scripted.rs
@@ -127,6 +127,8 @@
     pub store: TcpListener,
     /// Reports that reached the announce service.
     pub reports: Receiver<Value>,
+    /// Lines of the log before the one that says where it listens.
+    pub early: Vec<String>,
     pub lines: Receiver<String>,
     pub config: Value,
     /// The configuration's file.
@@ -179,14 +181,16 @@
         let reports = announce_at(announce);
         let process = Running(child);
         // Where membership is on, its first lines may come before.
+        let mut early = Vec::new();
         let said = loop {
             let line = lines.recv_timeout(NEVER).expect("the server says where it listens");
             if !line.contains("members: ") && !line.contains("failover: ") {
                 break line;
             }
+            early.push(line);
         };
         let address = said.rsplit(' ').next().unwrap().parse().expect(&said);
-        Rig { process, address, vm, store, reports, lines, config, file }
+        Rig { process, address, vm, store, reports, early, lines, config, file }
     }
 
     /// New addresses for all peers: the configuration's file is replaced and the program told so.
