--- a/crates/heathspurd/src/announce.rs
+++ b/crates/heathspurd/src/announce.rs
@@ -1,10 +1,10 @@
 //! Reports to the announce service: one a period, at once on a change, again soon after a failure.
 //!
-//! An entry lapses 3 s after the last report that counted, so no single fault may hold reports up for so long:
-//! a report that stays unanswered, and a dial that stands, are not broken off at once, but a second connection
-//! is tried beside them. Reports on two connections may be taken in either order; so when one of another
-//! content has ended, what holds now is told again. One that was given up unanswered can be taken yet: the
-//! next report, a period later at most, puts that right.
+//! An entry lapses 3 s after the last report that counted, so no single fault may hold reports up for so
+//! long: a report that stays unanswered, and a dial that stands, are not broken off at once, but a second
+//! connection is tried beside them. Reports on two connections may be taken in either order; so when one of
+//! another content has ended, what holds now is told again. One that was given up unanswered can be taken
+//! yet: the next report, a period later at most, puts that right.
 
 use crate::link::{self, Inflow, Target};
 use crate::notify::Notify;
--- a/crates/heathspurd/tests/peers.rs
+++ b/crates/heathspurd/tests/peers.rs
@@ -1,6 +1,6 @@
-//! Peers that are slow, silent, or answer out of order: the announce service, the interpreter and the store as
-//! scripted stand-ins. A slow dial is a real one: the listener's queue is full, so the system drops its packets
-//! until the test makes room.
+//! Peers that are slow, silent, or answer out of order: the announce service, the interpreter and the store
+//! as scripted stand-ins. A slow dial is a real one: the listener's queue is full, so the system drops its
+//! packets until the test makes room.
 
 use heathspur_rig::scripted::*;
 use procfs::net::TcpState;
@@ -164,7 +164,7 @@
             other.taken()?;
             told = other.next()?;
         }
-        // The service may have taken the later report first: the older one has the last word when it is answered.
+        // The service may have taken the later report first: then the older one has the last word.
         slow.is_open()?;
         other.taken()?;
         slow.taken()?;
@@ -295,8 +295,8 @@
     assert_eq!(client.answer().2, b"one");
 }
 
-/// A server whose one keyed request was told on a link that broke. The interpreter is slow: on the new link its
-/// gauges do not come in the time that they are waited for, nor does what was missed before them.
+/// A server whose one keyed request was told on a link that broke. The interpreter is slow: on the new link
+/// its gauges do not come in the time that they are waited for, nor does what was missed before them.
 fn late_link() -> (Rig, Vm, Client, Value) {
     let rig = Rig::start();
     let mut vm = rig.link();
