--- a/crates/heathspurd/tests/signals.rs
+++ b/crates/heathspurd/tests/signals.rs
@@ -51,6 +51,18 @@
     assert_eq!(client.answer().2, b"one");
 }
 
+/// A server that leaves while a request runs.
+fn leaving() -> (Rig, Vm, Client) {
+    let rig = Rig::start();
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    client.send(&request(1, None, b"abc"));
+    vm.apply();
+    rig.process.terminate();
+    rig.logs(LEAVES);
+    (rig, vm, client)
+}
+
 #[test]
 fn a_notice_to_leave_is_heard_while_a_bad_configuration_is_read_again_and_again() {
     // On a machine so busy that the notice is sent too late nothing is forced: then once more.
@@ -110,13 +122,7 @@
 
 #[test]
 fn a_second_notice_to_leave_changes_nothing() {
-    let mut rig = Rig::start();
-    let mut vm = rig.link();
-    let mut client = rig.client();
-    client.send(&request(1, None, b"abc"));
-    vm.apply();
-    rig.process.terminate();
-    rig.logs(LEAVES);
+    let (mut rig, mut vm, mut client) = leaving();
     rig.process.terminate();
     rig.process.signal("INT");
     reports_that_it_leaves(&rig.reports);
@@ -148,13 +154,7 @@
 
 #[test]
 fn a_new_configuration_holds_while_it_leaves() {
-    let mut rig = Rig::start();
-    let mut vm = rig.link();
-    let mut client = rig.client();
-    client.send(&request(1, None, b"abc"));
-    vm.apply();
-    rig.process.terminate();
-    rig.logs(LEAVES);
+    let (mut rig, _old, mut client) = leaving();
     let reports = rig.move_peers();
     reports_that_it_leaves(&reports);
     let mut vm = rig.link();
