Tell no reply again that the interpreter is known to have

Seen: a run whose RESOLVE was taken went on to its next call while the link was down or made again; `resume` told the same RESOLVE once more, and since RESOLVE names no call (STUB does), the next call got the earlier one's reply. From then on every later reply of that run came one call late: `hear` dropped an AWAIT of a run that stood at a call already. To blame: `doubt`, which marked all that ran as in doubt though commands and questions are carried out in order, and `Heard::Waits`, which took only `Work::Running`.

Looked at and ruled out: a break before the gauges' answer (nothing was told, the doubt stays), two breaks running, TOP refused, gauges late (`Late` tells only what no link was told), a nonce of an earlier link (events keep their order behind `Down`). All end in the one telling after the gauges' answer.

Change: `Delivery` in place of `in_doubt`. A reply told before a question that was answered on the same link is `Taken` and not told again; a stop asked for meanwhile is. APPLY and CONTINUE stay as they were (nothing happens to what runs), STUB carries its number. An AWAIT of a run that stands at a call replaces that call: it is given up, and the module makes the new one.

Left: a reply told after the last answered question may be lost, so it is told again; if it was taken and the run comes to its next call between the gauges' answer and the repeat, that call gets the wrong reply.

Tests (relink.rs, real connections, order forced by the stand-in's script).

--- a/crates/heathspurd/src/hear.rs
+++ b/crates/heathspurd/src/hear.rs
@@ -4,7 +4,7 @@
 use crate::interpreter::Event as Heard;
 use crate::owner::{LinkState, Owner};
 use crate::store::Event as Called;
-use crate::table::{Halting, Need, Told, Work};
+use crate::table::{Delivery, Halting, Need, Told, Work};
 use bytes::Bytes;
 use heathspur::{Event, Gauges, Halt, Outcome, RequestId, Span};
 use heathspur_wire::interpreter::{Command, End, Warmth};
@@ -39,13 +39,15 @@
                     self.events.push(Event::Timer { token: due.token, gauges: Gauges::default() });
                 }
             }
-            Heard::Gauges { nonce, .. } if matches!(self.link, LinkState::Resuming(n, _) if n == nonce) => {
-                self.resume();
-            }
             Heard::Gauges { nonce, readings } => {
-                // Questions are answered in order, after all that was missed.
-                if self.link == LinkState::Late {
-                    self.resume();
+                // Questions are answered in order, after all that was missed, and after what was told before them.
+                if nonce < self.next_nonce {
+                    self.answered = self.answered.max(nonce);
+                }
+                match self.link {
+                    LinkState::Resuming(asked, _) if asked == nonce => return self.resume(),
+                    LinkState::Late => self.resume(),
+                    _ => {}
                 }
                 if let Some(at) = self.due.iter().position(|due| due.nonce == nonce) {
                     let gauges = self.desk.names.meters.read(&readings);
@@ -60,11 +62,8 @@
                 }
             }
             Heard::Waits { txn, index, body } => {
-                let Some(id) = self.table.named(&txn) else { return };
-                let Some(entry) = self.table.get_mut(id) else { return };
-                if let Work::Running { since, .. } = entry.work {
-                    entry.work = Work::AtCall { since, need: Need { index, body } };
-                    self.events.push(Event::NeedsCall(id));
+                if let Some(id) = self.table.named(&txn) {
+                    self.waits(id, Need { index, body });
                 }
             }
             Heard::Refused { command, txn } => {
@@ -82,32 +81,68 @@
         }
     }
 
+    /// A run waits for a call. One that already did has taken a reply that was told again, of an earlier call, for this
+    /// one's: it goes on by what it waits for now, or all its later replies would come one call late.
+    fn waits(&mut self, id: RequestId, need: Need) {
+        let Some(entry) = self.table.get_mut(id) else { return };
+        match entry.work.clone() {
+            Work::Running { since, .. } => {
+                entry.work = Work::AtCall { since, need };
+                self.events.push(Event::NeedsCall(id));
+            }
+            Work::AtCall { since, .. } => entry.work = Work::AtCall { since, need },
+            Work::Calling { since, call, until, .. } => {
+                let _ = self.store.give_up(call);
+                self.call_timers.remove(&(until, id));
+                // What stands to be called now never was.
+                self.call_ended(id, Outcome::Moot);
+                if let Some(entry) = self.table.get_mut(id) {
+                    entry.work = Work::AtCall { since, need };
+                }
+            }
+            Work::Held | Work::Paused { .. } | Work::Waiting { .. } => {}
+        }
+    }
+
     /// All notices that were missed are in: what still runs is told again.
     fn resume(&mut self) {
         let late = std::mem::replace(&mut self.link, LinkState::Up) == LinkState::Late;
-        let again = |work: &Work| matches!(work, Work::Running { in_doubt, .. } if *in_doubt || !late);
-        for id in self.table.find(|entry| again(&entry.work)) {
-            if let Some(Work::Running { in_doubt, .. }) = self.table.get_mut(id).map(|e| &mut e.work) {
-                *in_doubt = false;
-            }
-            self.tell(id);
-        }
+        self.tell_where(|delivery| !late || !matches!(delivery, Delivery::Here { .. }));
     }
 
     /// Notices that were missed may yet come: only what no link was told before is told.
     pub(crate) fn resume_late(&mut self) {
         self.link = LinkState::Late;
-        for id in self.table.find(|entry| matches!(entry.work, Work::Running { in_doubt: false, .. })) {
+        self.tell_where(|delivery| matches!(delivery, Delivery::Here { .. }));
+    }
+
+    /// Tells what runs and passes the test, on this link now.
+    fn tell_where(&mut self, test: impl Fn(Delivery) -> bool) {
+        let passes = |work: &Work| matches!(work, Work::Running { delivery, .. } if test(*delivery));
+        for id in self.table.find(|entry| passes(&entry.work)) {
+            if let Some(Work::Running { delivery, .. }) = self.table.get_mut(id).map(|e| &mut e.work) {
+                if *delivery != Delivery::Taken {
+                    *delivery = Delivery::Here { before: self.next_nonce };
+                }
+            }
             self.tell(id);
         }
     }
 
-    /// The link broke: the interpreter may have taken what it was told, or not.
+    /// The link broke: the interpreter may have taken what it was told, or not. A reply names no call, so one that it
+    /// has must not be told again: the run may wait for its next call by then. The rest can be.
     fn doubt(&mut self) {
         for id in self.table.find(|entry| matches!(entry.work, Work::Running { .. })) {
-            if let Some(Work::Running { in_doubt, .. }) = self.table.get_mut(id).map(|e| &mut e.work) {
-                *in_doubt = true;
-            }
+            let Some(Work::Running { delivery, told, .. }) = self.table.get_mut(id).map(|e| &mut e.work)
+            else {
+                continue;
+            };
+            let taken = matches!(delivery, Delivery::Here { before } if *before <= self.answered);
+            *delivery = match (*delivery, told) {
+                (Delivery::Taken, _) => Delivery::Taken,
+                (_, Told::Resolve(_)) if taken => Delivery::Taken,
+                _ => Delivery::InDoubt,
+            };
         }
     }
 
--- a/crates/heathspurd/src/owner.rs
+++ b/crates/heathspurd/src/owner.rs
@@ -70,6 +70,8 @@
     pub module: Option<Server>,
     pub due: VecDeque<Due>,
     pub next_nonce: u64,
+    /// The last question that was answered.
+    pub answered: u64,
     pub prune_at: Time,
     /// When the fronts are shut, and when the process ends whatever is left.
     pub leaving: Option<(Time, Time)>,
--- a/crates/heathspurd/src/send.rs
+++ b/crates/heathspurd/src/send.rs
@@ -2,7 +2,7 @@
 
 use crate::owner::Owner;
 use crate::store::{Call, CallId};
-use crate::table::{Halting, Need, Told, Work};
+use crate::table::{Delivery, Halting, Need, Told, Work};
 use heathspur::{Effect, RequestId, Span};
 use heathspur_wire::interpreter::Command;
 
@@ -18,7 +18,8 @@
             Work::Paused { since } => (since, Told::Continue),
             _ => return,
         };
-        entry.work = Work::Running { since, told, halting: Halting::No, in_doubt: false };
+        let delivery = Delivery::Here { before: self.next_nonce };
+        entry.work = Work::Running { since, told, halting: Halting::No, delivery };
         if let Some(key) = &entry.key {
             self.keys.runs(key, id);
         }
@@ -56,23 +57,28 @@
         let (Work::AtCall { since, need } | Work::Calling { since, need, .. }) = &entry.work else {
             return;
         };
-        entry.work = Work::Running { since: *since, told: told(need), halting: Halting::No, in_doubt: false };
+        let delivery = Delivery::Here { before: self.next_nonce };
+        entry.work = Work::Running { since: *since, told: told(need), halting: Halting::No, delivery };
         self.tell(id);
     }
 
-    /// Tells the interpreter where a running request stands; once more after the link was made again.
+    /// Tells the interpreter where a running request stands; once more after the link was made again, but for what it
+    /// is known to have.
     pub(crate) fn tell(&self, id: RequestId) {
         let Some(entry) = self.table.get(id).filter(|_| self.link.is_up()) else { return };
-        let Work::Running { told, halting, .. } = &entry.work else { return };
+        let Work::Running { told, halting, delivery, .. } = &entry.work else { return };
         let task = entry.txn.as_str();
-        self.interpreter.send(match told {
+        let command = match told {
             Told::Apply => {
                 Command::Apply { task, class: &self.desk.names.classes[entry.class.0], body: &entry.body }
             }
             Told::Continue => Command::Continue(task),
             Told::Resolve(body) => Command::Resolve { task, body },
             Told::Stub(index) => Command::Stub { task, index: *index },
-        });
+        };
+        if *delivery != Delivery::Taken {
+            self.interpreter.send(command);
+        }
         if *halting == Halting::Asked {
             self.interpreter.send(Command::Break(task));
         }
--- a/crates/heathspurd/src/serve.rs
+++ b/crates/heathspurd/src/serve.rs
@@ -155,6 +155,7 @@
         module: None,
         due: VecDeque::new(),
         next_nonce: 1,
+        answered: 0,
         prune_at: clock.now() + PRUNE,
         leaving: None,
         shutter,
--- a/crates/heathspurd/src/table.rs
+++ b/crates/heathspurd/src/table.rs
@@ -24,6 +24,17 @@
     Asked,
 }
 
+/// What is known of the command that a run was told last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Delivery {
+    /// On no link that broke: on this one, before the question of this number, or on none yet.
+    Here { before: u64 },
+    /// On a link that broke, so it may be lost; and what is not heard yet may be that the run has ended.
+    InDoubt,
+    /// On a link that broke after it had answered a later question: the interpreter has it.
+    Taken,
+}
+
 /// The call that a run waits for.
 #[derive(Clone, Debug)]
 pub(crate) struct Need {
@@ -40,8 +51,7 @@
         since: Time,
         told: Told,
         halting: Halting,
-        /// It was told on a link that broke, so what is not heard yet may be that it has ended.
-        in_doubt: bool,
+        delivery: Delivery,
     },
     Paused {
         since: Time,
--- /dev/null
+++ b/crates/heathspurd/tests/relink.rs
@@ -0,0 +1,131 @@
+//! The interpreter's link breaks, or a notice crosses a command, at a named point; what runs is told neither too
+//! much nor too little. Each order is forced by the stand-ins' script.
+
+use heathspur_rig::scripted::*;
+use serde_json::{json, Value};
+
+fn task(txn: u64) -> String {
+    format!("{txn:016x}")
+}
+
+fn answer_top(vm: &mut Vm, nonce: &Value) {
+    vm.say(json!({"verb": "TOPS", "nonce": nonce, "readings": [0.1, 0, 0.1, 2]}));
+}
+
+/// The next line, which asks for the gauges; it is answered.
+fn top(vm: &mut Vm) {
+    let line = vm.line();
+    assert_eq!(line["verb"], "TOP", "{line}");
+    answer_top(vm, &line["nonce"]);
+}
+
+/// A keyed run that has taken the reply to its first call.
+fn resolved() -> (Rig, Vm, Client, Store) {
+    let rig = Rig::start();
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    client.send(&request(1, Some("k"), b"abc"));
+    vm.apply();
+    vm.awaits(&task(1), b"one");
+    let mut store = Store::accept(&rig);
+    assert_eq!(store.call().1, b"one");
+    store.ok(1, "first");
+    let reply = vm.command();
+    assert_eq!((&reply["verb"], &reply["bytes"]), (&json!("RESOLVE"), &json!("Zmlyc3Q=")));
+    (rig, vm, client, store)
+}
+
+#[test]
+fn a_reply_that_the_interpreter_has_is_not_told_again() {
+    let (rig, mut vm, mut client, _store) = resolved();
+    // A question behind the reply is answered, so the reply was taken.
+    top(&mut vm);
+    drop(vm);
+    let mut vm = rig.link();
+    top(&mut vm);
+    // The next call's notice is on its way; a reply told now would be taken for this call's.
+    vm.awaits(&task(1), b"two");
+    let mut store = Store::accept(&rig);
+    assert_eq!(store.call().1, b"two");
+    store.ok(1, "second");
+    let reply = vm.command();
+    assert_eq!((&reply["verb"], &reply["bytes"]), (&json!("RESOLVE"), &json!("c2Vjb25k")));
+    vm.value(&task(1), "complete", b"done");
+    assert_eq!(client.answer().2, b"done");
+}
+
+#[test]
+fn a_reply_that_may_be_lost_is_told_again() {
+    let (rig, vm, mut client, _store) = resolved();
+    drop(vm);
+    let mut vm = rig.link();
+    top(&mut vm);
+    let reply = vm.until_command();
+    assert_eq!((&reply["verb"], &reply["bytes"]), (&json!("RESOLVE"), &json!("Zmlyc3Q=")));
+    vm.value(&task(1), "complete", b"done");
+    assert_eq!(client.answer().2, b"done");
+}
+
+#[test]
+fn a_run_that_took_a_repeated_reply_for_its_next_call_gets_its_later_replies_right() {
+    let (rig, vm, mut client, _store) = resolved();
+    drop(vm);
+    let mut vm = rig.link();
+    top(&mut vm);
+    // The first link's reply was taken, and the run waits for its next call when the same comes again.
+    vm.awaits(&task(1), b"two");
+    let mut second = Store::accept(&rig);
+    assert_eq!(second.call().1, b"two");
+    assert_eq!(vm.until_command()["verb"], "RESOLVE");
+    vm.awaits(&task(1), b"three");
+    let mut third = Store::accept(&rig);
+    assert_eq!(third.call().1, b"three");
+    second.closed();
+    third.ok(1, "third");
+    let reply = vm.command();
+    assert_eq!((&reply["verb"], &reply["bytes"]), (&json!("RESOLVE"), &json!("dGhpcmQ=")));
+    vm.value(&task(1), "complete", b"done");
+    assert_eq!(client.answer().2, b"done");
+}
+
+#[test]
+fn a_run_that_has_its_reply_and_is_stopped_while_the_link_is_down_is_told_of_the_stop_alone() {
+    let rig = Rig::start();
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    client.send(&request(1, None, b"abc"));
+    vm.apply();
+    vm.awaits(&task(1), b"one");
+    let mut store = Store::accept(&rig);
+    store.call();
+    store.ok(1, "first");
+    assert_eq!(vm.command()["verb"], "RESOLVE");
+    top(&mut vm);
+    drop(vm);
+    let mut vm = rig.link();
+    drop(client);
+    top(&mut vm);
+    assert_eq!(vm.command()["verb"], "BREAK");
+    vm.value(&task(1), "cancelled", b"");
+    let mut client = rig.client();
+    client.send(&request(2, None, b"def"));
+    assert_eq!(vm.apply().0, task(2));
+}
+
+#[test]
+fn a_stopped_run_that_ended_while_the_link_was_down_is_told_nothing() {
+    let rig = Rig::start();
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    client.send(&request(1, None, b"abc"));
+    vm.apply();
+    drop(client);
+    assert_eq!(vm.command()["verb"], "BREAK");
+    drop(vm);
+    let mut vm = rig.link();
+    vm.value(&task(1), "cancelled", b"");
+    top(&mut vm);
+    let mut client = rig.client();
+    client.send(&request(2, None, b"def"));
+    assert_eq!(vm.apply().0, task(2));
+}
