Let a stop hold where the run comes to a call meanwhile

Seen in the code: an AWAIT that crosses a BREAK set `Work::AtCall`, which had no place for `Halting::Asked`. The run's end as `cancelled` then counted as a failure (500) where an answer was still owed, in place of the pause or return to the hold that the module had asked for, and a run that went on behind its call was not stopped at all. To blame: `hear`'s `Waits` and `go_on`, which made the run anew with `Halting::No`.

Change: `halting` goes with the run through `AtCall` and `Calling`, `run_ended` looks at it in all three, and behind RESOLVE or STUB the BREAK is told again. With `halt` pause the request is paused, with drop it is held again, with none the module stops nothing.

Looked at: today's module stops only what nobody waits for (`gone` alone says Stop, after the answer), so no answer could be lost or run twice by this before, and nothing that it sees changes now: the crossed run ends as cancelled and leaves its place. It is the interface's promise to any module that was broken.

Tests: the two on the owner (unit/hear.rs) fail with the flag dropped at the AWAIT as before (the request failed, the run went on with no stop). On real connections (relink.rs) the crossing leaves the place free and makes no call; that passed before as well.

--- a/crates/heathspurd/src/book.rs
+++ b/crates/heathspurd/src/book.rs
@@ -58,8 +58,8 @@
         let Some(entry) = self.table.get_mut(id) else { return };
         match entry.work.clone() {
             Work::Held | Work::Paused { .. } | Work::Waiting { .. } => self.book_out(id),
-            Work::Calling { since, need, call, until, .. } => {
-                entry.work = Work::AtCall { since, need };
+            Work::Calling { since, need, halting, call, until, .. } => {
+                entry.work = Work::AtCall { since, need, halting };
                 let _ = self.store.give_up(call);
                 self.call_timers.remove(&(until, id));
             }
--- a/crates/heathspurd/src/hear.rs
+++ b/crates/heathspurd/src/hear.rs
@@ -86,18 +86,18 @@
     fn waits(&mut self, id: RequestId, need: Need) {
         let Some(entry) = self.table.get_mut(id) else { return };
         match entry.work.clone() {
-            Work::Running { since, .. } => {
-                entry.work = Work::AtCall { since, need };
+            Work::Running { since, halting, .. } => {
+                entry.work = Work::AtCall { since, need, halting };
                 self.events.push(Event::NeedsCall(id));
             }
-            Work::AtCall { since, .. } => entry.work = Work::AtCall { since, need },
-            Work::Calling { since, call, until, .. } => {
+            Work::AtCall { since, halting, .. } => entry.work = Work::AtCall { since, need, halting },
+            Work::Calling { since, halting, call, until, .. } => {
                 let _ = self.store.give_up(call);
                 self.call_timers.remove(&(until, id));
                 // What stands to be called now never was.
                 self.call_ended(id, Outcome::Moot);
                 if let Some(entry) = self.table.get_mut(id) {
-                    entry.work = Work::AtCall { since, need };
+                    entry.work = Work::AtCall { since, need, halting };
                 }
             }
             Work::Held | Work::Paused { .. } | Work::Waiting { .. } => {}
@@ -150,8 +150,9 @@
     pub(crate) fn run_ended(&mut self, id: RequestId, end: End, body: Bytes) {
         let Some(entry) = self.table.get_mut(id) else { return };
         let (since, halted) = match &entry.work {
-            Work::Running { since, halting, .. } => (*since, *halting == Halting::Asked),
-            Work::AtCall { since, .. } | Work::Calling { since, .. } => (*since, false),
+            Work::Running { since, halting, .. }
+            | Work::AtCall { since, halting, .. }
+            | Work::Calling { since, halting, .. } => (*since, *halting == Halting::Asked),
             Work::Held | Work::Paused { .. } | Work::Waiting { .. } => return,
         };
         let outcome = match end {
@@ -193,8 +194,12 @@
     /// A call has come back, or is given up: the run stands where it stood before.
     pub(crate) fn call_ended(&mut self, id: RequestId, outcome: Outcome) {
         let Some(entry) = self.table.get_mut(id) else { return };
-        let Work::Calling { since, need, made, .. } = entry.work.clone() else { return };
-        entry.work = Work::AtCall { since, need };
+        let Work::Calling { since, need, halting, made, .. } = entry.work.clone() else { return };
+        entry.work = Work::AtCall { since, need, halting };
         self.events.push(Event::Called { id, outcome, latency: self.now - made });
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/hear.rs"]
+mod tests;
--- a/crates/heathspurd/src/send.rs
+++ b/crates/heathspurd/src/send.rs
@@ -40,7 +40,7 @@
     /// Makes the call that a run waits for.
     pub(crate) fn call(&mut self, id: RequestId, limit: Span) {
         let Some(entry) = self.table.get_mut(id) else { return };
-        let Work::AtCall { since, need } = entry.work.clone() else { return };
+        let Work::AtCall { since, need, halting } = entry.work.clone() else { return };
         let call = CallId(self.next_call);
         self.next_call += 1;
         let until = self.now + limit + BACKSTOP;
@@ -48,17 +48,19 @@
         let (txn, limit_ms, body) = (entry.txn, (limit.0 / 1000).max(1), need.body.clone());
         self.store.call(Call { id, call, txn, limit_ms, body, fresh });
         self.call_timers.insert((until, id));
-        entry.work = Work::Calling { since, need, call, made: self.now, until };
+        entry.work = Work::Calling { since, need, halting, call, made: self.now, until };
     }
 
     /// Goes on with the reply to the call, or without it.
     pub(crate) fn go_on(&mut self, id: RequestId, told: impl FnOnce(&Need) -> Told) {
         let Some(entry) = self.table.get_mut(id) else { return };
-        let (Work::AtCall { since, need } | Work::Calling { since, need, .. }) = &entry.work else {
+        let (Work::AtCall { since, need, halting } | Work::Calling { since, need, halting, .. }) =
+            &entry.work
+        else {
             return;
         };
         let delivery = Delivery::Here { before: self.next_nonce };
-        entry.work = Work::Running { since: *since, told: told(need), halting: Halting::No, delivery };
+        entry.work = Work::Running { since: *since, told: told(need), halting: *halting, delivery };
         self.tell(id);
     }
 
--- a/crates/heathspurd/src/table.rs
+++ b/crates/heathspurd/src/table.rs
@@ -17,7 +17,7 @@
     Stub(u64),
 }
 
-/// Whether a run is to be stopped.
+/// Whether a run is to be stopped. It holds until the run ends, also where the run comes to a call meanwhile.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Halting {
     No,
@@ -59,10 +59,12 @@
     AtCall {
         since: Time,
         need: Need,
+        halting: Halting,
     },
     Calling {
         since: Time,
         need: Need,
+        halting: Halting,
         call: CallId,
         made: Time,
         until: Time,
--- a/crates/heathspurd/tests/relink.rs
+++ b/crates/heathspurd/tests/relink.rs
@@ -129,3 +129,26 @@
     client.send(&request(2, None, b"def"));
     assert_eq!(vm.apply().0, task(2));
 }
+
+#[test]
+fn a_stopped_run_whose_call_crosses_the_stop_leaves_its_place() {
+    let rig = Rig::start();
+    let mut vm = rig.link();
+    let mut client = rig.client();
+    client.send(&request(1, None, b"abc"));
+    vm.apply();
+    drop(client);
+    let stop = vm.command();
+    assert_eq!((&stop["verb"], &stop["task"]), (&json!("BREAK"), &json!(task(1))));
+    // The notice was made before the stop arrived.
+    vm.awaits(&task(1), b"one");
+    vm.value(&task(1), "cancelled", b"");
+    // The next request has its place, and no call was made for it.
+    let mut client = rig.client();
+    client.send(&request(2, None, b"def"));
+    assert_eq!(vm.apply().0, task(2));
+    vm.value(&task(2), "complete", b"two");
+    assert_eq!(client.answer().2, b"two");
+    rig.store.set_nonblocking(true).unwrap();
+    assert!(rig.store.accept().is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock));
+}
