Make the link again where a notice's number jumps, and run nothing whose end is lost

Seen: a notice whose number is spoilt upwards set `last` to it (`understand`'s `fresh`), and all later notices looked old: no run ended any more for as many notices, and CONNECT asked behind a number that was never made. And where more than 4,000 notices were missed, a keyed run whose VALUE was among those kept no longer was told APPLY again by `resume`: its effect a second time.

Change: the numbers count up by one, so a jump ends the link and CONNECT asks behind the last good one (`count.rs`, no I/O). What comes again as the first of the next link, the same or as far on as may have been made meanwhile, is taken. Where it first stood at a link's beginning, before an answered question, more was missed than is kept (`Event::Missed`): what may have ended counts as failed and its place is free; only a read that came to no call is run again. Elsewhere the peer leaves numbers out and is taken at its word from then on, so such a peer costs one link. A number spoilt downwards still looks old; the next notice is a jump then, and it comes again.

Tests, order forced on real connections (relink.rs).

`a_notice_is_taken_once_by_its_number` is gone: it held that a TRACE 9 behind a 3 sets the last number to 9, which is the fault.

--- a/crates/heathspurd/src/hear.rs
+++ b/crates/heathspurd/src/hear.rs
@@ -6,7 +6,7 @@
 use crate::store::Event as Called;
 use crate::table::{Delivery, Halting, Need, Told, Work};
 use bytes::Bytes;
-use heathspur::{Event, Gauges, Halt, Outcome, RequestId, Span};
+use heathspur::{Effect, Event, Gauges, Halt, Outcome, RequestId, Span};
 use heathspur_wire::interpreter::{Command, End, Warmth};
 use tracing::warn;
 
@@ -66,6 +66,7 @@
                     self.waits(id, Need { index, body });
                 }
             }
+            Heard::Missed => self.missed(),
             Heard::Refused { command, txn } => {
                 if command == "TOP" && matches!(self.link, LinkState::Resuming(..) | LinkState::Late) {
                     self.resume();
@@ -129,6 +130,26 @@
         }
     }
 
+    /// More notices were missed than are kept, so an end may be among those that never come. What may have ended is
+    /// not run again, unless that does no harm, and must not keep its place for ever: it counts as failed.
+    fn missed(&mut self) {
+        warn!("notices were made that the interpreter keeps no longer");
+        let settings = &self.settings;
+        let lost = self.table.find(|entry| match &entry.work {
+            Work::Running { delivery: Delivery::Here { .. }, .. } => false,
+            Work::Running { told: Told::Apply, halting: Halting::No, .. } => {
+                settings.classes[entry.class.0].effect != Effect::Safe
+            }
+            Work::Running { .. } => true,
+            // A run ends at a call only once nobody waits for its request.
+            Work::AtCall { .. } | Work::Calling { .. } => entry.reply.is_none(),
+            Work::Held | Work::Paused { .. } | Work::Waiting { .. } => false,
+        });
+        for id in lost {
+            self.run_ended(id, End::Error, Bytes::new());
+        }
+    }
+
     /// The link broke: the interpreter may have taken what it was told, or not. A reply names no call, so one that it
     /// has must not be told again: the run may wait for its next call by then. The rest can be.
     fn doubt(&mut self) {
--- a/crates/heathspurd/src/interpreter.rs
+++ b/crates/heathspurd/src/interpreter.rs
@@ -1,5 +1,6 @@
 //! The link to the interpreter: held open, made again when it breaks, resumed at the last notice read.
 
+use crate::count::{Count, Sight};
 use crate::front::Txn;
 use crate::link::{connect, Inflow, Target};
 use crate::notify::Notify;
@@ -27,11 +28,30 @@
 /// What the link tells the owner.
 #[derive(Debug)]
 pub(crate) enum Event {
-    Banner { warmth: Warmth, ago_ms: f64 },
-    Ended { txn: Txn, end: End, body: Bytes },
-    Waits { txn: Txn, index: u64, body: Bytes },
-    Gauges { nonce: u64, readings: Vec<f64> },
-    Refused { command: String, txn: Option<Txn> },
+    Banner {
+        warmth: Warmth,
+        ago_ms: f64,
+    },
+    Ended {
+        txn: Txn,
+        end: End,
+        body: Bytes,
+    },
+    Waits {
+        txn: Txn,
+        index: u64,
+        body: Bytes,
+    },
+    Gauges {
+        nonce: u64,
+        readings: Vec<f64>,
+    },
+    Refused {
+        command: String,
+        txn: Option<Txn>,
+    },
+    /// Notices were made that are kept no longer.
+    Missed,
     Down,
 }
 
@@ -59,7 +79,7 @@
     events: Sender<N>,
     tap: Option<Rc<Tap>>,
 ) {
-    let (mut last, mut wait) = (0, SHORTEST);
+    let (mut count, mut wait) = (Count::default(), SHORTEST);
     loop {
         let address = target.get();
         let dial = connect(address, DIAL, tap.as_ref().map(|tap| (tap, Leg::Interpreter)));
@@ -69,13 +89,14 @@
         };
         match future::or(async { Some(dial.await) }, moved).await {
             Some(Ok(stream)) => {
-                let before = last;
+                let before = count.last();
                 let moved = async {
                     target.moved(address).await;
                     "it has moved".to_string()
                 };
-                let ended = future::or(talk(&stream, &link, &events, &mut last), moved).await;
+                let ended = future::or(talk(&stream, &link, &events, &mut count), moved).await;
                 link.out.borrow_mut().clear();
+                let last = count.last();
                 warn!(last, cause = %ended, "the interpreter's link broke after notice {last}: {ended}");
                 if last > before {
                     wait = SHORTEST;
@@ -100,15 +121,16 @@
 }
 
 /// Carries one connection to its end and says why it ended.
-async fn talk<N: From<Event>>(stream: &Stream, link: &Link, events: &Sender<N>, last: &mut u64) -> String {
+async fn talk<N: From<Event>>(stream: &Stream, link: &Link, events: &Sender<N>, count: &mut Count) -> String {
     let mut hello = Vec::new();
-    wire::write(&mut hello, Command::Connect(*last));
+    count.begin_link();
+    wire::write(&mut hello, Command::Connect(count.last()));
     {
         let mut out = link.out.borrow_mut();
         out.clear();
         out.append(&mut hello);
     }
-    future::or(listen(stream, events, last), speak(stream, link)).await
+    future::or(listen(stream, events, count), speak(stream, link)).await
 }
 
 async fn speak(mut stream: &Stream, link: &Link) -> String {
@@ -129,7 +151,7 @@
     }
 }
 
-async fn listen<N: From<Event>>(stream: &Stream, events: &Sender<N>, last: &mut u64) -> String {
+async fn listen<N: From<Event>>(stream: &Stream, events: &Sender<N>, count: &mut Count) -> String {
     let mut inflow = Inflow::new();
     loop {
         if let Err(e) = inflow.fill(stream).await {
@@ -138,7 +160,8 @@
         while let Some(end) = wire::line_end(inflow.bytes()) {
             let line = &inflow.bytes()[..end];
             // It is taken once the owner has it: a link that ends before that is told it again.
-            let mut read = *last;
+            let mut read = *count;
+            let mut sight = Sight::Next;
             let heard = match wire::read(line) {
                 // Its number is not taken either, so it comes again, whole, on the next link.
                 Ok(Notice::Value { task, .. } | Notice::Await { task, .. })
@@ -146,16 +169,30 @@
                 {
                     return "a notice names no request".to_string();
                 }
-                Ok(notice) => understand(notice, &mut read),
+                Ok(notice) => {
+                    if matches!(notice, Notice::Tops { .. }) {
+                        read.caught_up();
+                    }
+                    if let Some(index) = number(&notice) {
+                        sight = read.see(index);
+                    }
+                    if sight == Sight::Spoilt {
+                        let last = count.last();
+                        *count = read;
+                        return format!("a notice is numbered {:?} after {last}", number(&notice));
+                    }
+                    understand(notice, sight)
+                }
                 Err(_) if line.trim_ascii().is_empty() => None,
                 Err(e) => return format!("a line makes no sense: {e}"),
             };
-            if let Some(heard) = heard {
+            let missed = (sight == Sight::NextKept).then_some(Event::Missed);
+            for heard in missed.into_iter().chain(heard) {
                 if events.send(heard.into()).await.is_err() {
                     return "the server has ended".to_string();
                 }
             }
-            *last = read;
+            *count = read;
             inflow.use_up(end + 1);
         }
         if inflow.bytes().len() > wire::LINE {
@@ -164,33 +201,32 @@
     }
 }
 
+/// The number of a notice, where its kind has one.
+fn number(notice: &Notice<'_>) -> Option<u64> {
+    match notice {
+        Notice::Value { index, .. } | Notice::Await { index, .. } | Notice::Trace { index } => Some(*index),
+        Notice::Banner { .. } | Notice::Tops { .. } | Notice::Refused { .. } => None,
+    }
+}
+
 /// What a notice tells the owner; nothing when it was taken before.
-fn understand(notice: Notice<'_>, last: &mut u64) -> Option<Event> {
-    let mut fresh = |index: u64| {
-        let new = index > *last;
-        *last = index.max(*last);
-        new
-    };
+fn understand(notice: Notice<'_>, sight: Sight) -> Option<Event> {
+    if sight == Sight::Old {
+        return None;
+    }
     match notice {
         Notice::Banner { warmth, ago_ms } => Some(Event::Banner { warmth, ago_ms }),
-        Notice::Value { index, task, end, body } => {
-            let txn = Txn::read(task.as_bytes());
-            fresh(index).then_some(())?;
-            Some(Event::Ended { txn: txn?, end, body: body.into() })
+        Notice::Value { task, end, body, .. } => {
+            Some(Event::Ended { txn: Txn::read(task.as_bytes())?, end, body: body.into() })
         }
         Notice::Await { index, task, body } => {
-            let txn = Txn::read(task.as_bytes());
-            fresh(index).then_some(())?;
-            Some(Event::Waits { txn: txn?, index, body: body.into() })
+            Some(Event::Waits { txn: Txn::read(task.as_bytes())?, index, body: body.into() })
         }
         Notice::Tops { nonce, readings } => Some(Event::Gauges { nonce: nonce.parse().ok()?, readings }),
         Notice::Refused { command, task } => {
             Some(Event::Refused { command: command.into_owned(), txn: Txn::read(task.as_bytes()) })
         }
-        Notice::Trace { index } => {
-            fresh(index);
-            None
-        }
+        Notice::Trace { .. } => None,
     }
 }
 
--- a/crates/heathspurd/src/lib.rs
+++ b/crates/heathspurd/src/lib.rs
@@ -13,6 +13,7 @@
 mod announce;
 mod book;
 mod clock;
+mod count;
 mod failover;
 mod front;
 mod hear;
--- a/crates/heathspurd/tests/relink.rs
+++ b/crates/heathspurd/tests/relink.rs
@@ -152,3 +152,81 @@
     rig.store.set_nonblocking(true).unwrap();
     assert!(rig.store.accept().is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock));
 }
+
+/// Two requests that run, `look` and then `pay`.
+fn two_running() -> (Rig, Vm, [Client; 2]) {
+    let rig = Rig::start();
+    let mut vm = rig.link();
+    let mut clients = [rig.client(), rig.client()];
+    for (client, key) in clients.iter_mut().zip([None, Some("k")]) {
+        client.send(&request(1 + u64::from(key.is_some()), key, b"abc"));
+        vm.apply();
+    }
+    (rig, vm, clients)
+}
+
+#[test]
+fn a_notice_whose_number_is_spoilt_upwards_hides_none_behind_it() {
+    let (rig, mut vm, [mut first, mut second]) = two_running();
+    vm.index = 900;
+    vm.value(&task(1), "complete", b"one");
+    let mut vm = rig.link();
+    assert_eq!(vm.resumed_at, 0);
+    vm.value(&task(1), "complete", b"one");
+    vm.value(&task(2), "complete", b"two");
+    assert_eq!((first.answer().2, second.answer().2), (b"one".to_vec(), b"two".to_vec()));
+}
+
+#[test]
+fn a_peer_that_leaves_numbers_out_costs_one_link() {
+    let (rig, mut vm, [mut first, mut second]) = two_running();
+    vm.index = 9;
+    vm.value(&task(1), "complete", b"one");
+    let mut vm = rig.link();
+    assert_eq!(vm.resumed_at, 0);
+    vm.index = 9;
+    vm.value(&task(1), "complete", b"one");
+    vm.index = 19;
+    vm.value(&task(2), "complete", b"two");
+    assert_eq!((first.answer().2, second.answer().2), (b"one".to_vec(), b"two".to_vec()));
+}
+
+#[test]
+fn a_keyed_run_whose_end_is_kept_no_longer_is_not_run_again() {
+    let (rig, vm, [mut first, mut second]) = two_running();
+    drop(vm);
+    // More was missed than is kept: two links begin with the same notice far ahead.
+    let mut vm = rig.link();
+    vm.index = 4_100;
+    vm.value(&task(3), "complete", b"");
+    let mut vm = rig.link();
+    assert_eq!(vm.resumed_at, 0);
+    vm.index = 4_100;
+    vm.value(&task(3), "complete", b"");
+    top(&mut vm);
+    // Nothing is told of the second, and a read does no harm.
+    assert_eq!(second.answer().0, 500);
+    let again = vm.until_command();
+    assert_eq!((&again["verb"], &again["task"]), (&json!("APPLY"), &json!(task(1))));
+    vm.value(&task(1), "complete", b"one");
+    assert_eq!(first.answer().2, b"one");
+    // Repeats are not run either.
+    second.send(&request(4, Some("k"), b"abc"));
+    assert_eq!(second.answer().0, 500);
+    first.send(&request(5, None, b"def"));
+    assert_eq!(vm.apply().0, task(5));
+}
+
+#[test]
+fn a_peer_whose_numbers_are_never_right_is_served_on_the_fourth_link() {
+    let (rig, mut vm, [mut first, _second]) = two_running();
+    for index in [90_000, 80_000, 70_000] {
+        vm.index = index;
+        vm.value(&task(1), "complete", b"one");
+        vm = rig.link();
+        assert_eq!(vm.resumed_at, 0);
+    }
+    vm.index = 60_000;
+    vm.value(&task(1), "complete", b"one");
+    assert_eq!(first.answer().2, b"one");
+}
--- a/crates/heathspurd/tests/unit/interpreter.rs
+++ b/crates/heathspurd/tests/unit/interpreter.rs
@@ -2,18 +2,6 @@
 
 use super::*;
 
-#[test]
-fn a_notice_is_taken_once_by_its_number() {
-    let mut last = 0;
-    let line = br#"{"verb":"VALUE","index":3,"task":"9b1f03aa5c7e2d41","outcome":"error","spent":1}"#;
-    assert!(understand(wire::read(line).unwrap(), &mut last).is_some());
-    assert!(understand(wire::read(line).unwrap(), &mut last).is_none());
-    assert!(
-        understand(wire::read(br#"{"verb":"TRACE","index":9,"outcome":"x"}"#).unwrap(), &mut last).is_none()
-    );
-    assert_eq!(last, 9);
-}
-
 /// Both ends of a connection.
 fn pair() -> (Stream, std::net::TcpStream) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -31,11 +19,11 @@
         );
         std::io::Write::write_all(&mut theirs, line.as_bytes()).unwrap();
     }
-    let mut last = 0;
+    let mut count = Count::default();
     // The first notice takes up the room; the second waits, and then the link ends under it.
     async_io::block_on(future::or(
         async {
-            listen(&stream, &events, &mut last).await;
+            listen(&stream, &events, &mut count).await;
         },
         async {
             while !heard.is_full() {
@@ -43,5 +31,5 @@
             }
         },
     ));
-    assert_eq!((last, heard.len()), (1, 1));
+    assert_eq!((count.last(), heard.len()), (1, 1));
 }
