Merge the races on the interpreter's link

Replies that the interpreter has are not told again, a stop holds across a call, a jump in notices' numbers makes the link again.

--- a/crates/heathspurd/src/hear.rs
+++ b/crates/heathspurd/src/hear.rs
@@ -4,9 +4,9 @@
 use crate::interpreter::Event as Heard;
 use crate::owner::{LinkState, Owner};
 use crate::store::Event as Called;
-use crate::table::{Halting, Need, Told, Work};
+use crate::table::{Delivery, Halting, Need, Told, Work};
 use bytes::Bytes;
-use heathspur::{Event, Gauges, Halt, Outcome, RequestId, Span};
+use heathspur::{Effect, Event, Gauges, Halt, Outcome, RequestId, Span};
 use heathspur_wire::interpreter::{Command, End, Warmth};
 use tracing::warn;
 
@@ -39,13 +39,15 @@
                     self.events.push(Event::Timer { token: due.token, gauges: Gauges::default() });
                 }
             }
-            Heard::Gauges { nonce, .. } if matches!(self.link, LinkState::Resuming(n, _) if n == nonce) => {
-                self.resume();
-            }
             Heard::Gauges { nonce, readings } => {
-                // Questions are answered in order, after all that was missed.
-                if self.link == LinkState::Late {
-                    self.resume();
+                // Questions are answered in order, after all that was missed, and after what was told before them.
+                if nonce < self.next_nonce {
+                    self.answered = self.answered.max(nonce);
+                }
+                match self.link {
+                    LinkState::Resuming(asked, _) if asked == nonce => return self.resume(),
+                    LinkState::Late => self.resume(),
+                    _ => {}
                 }
                 if let Some(at) = self.due.iter().position(|due| due.nonce == nonce) {
                     let gauges = self.desk.names.meters.read(&readings);
@@ -60,13 +62,11 @@
                 }
             }
             Heard::Waits { txn, index, body } => {
-                let Some(id) = self.table.named(&txn) else { return };
-                let Some(entry) = self.table.get_mut(id) else { return };
-                if let Work::Running { since, .. } = entry.work {
-                    entry.work = Work::AtCall { since, need: Need { index, body } };
-                    self.events.push(Event::NeedsCall(id));
+                if let Some(id) = self.table.named(&txn) {
+                    self.waits(id, Need { index, body });
                 }
             }
+            Heard::Missed => self.missed(),
             Heard::Refused { command, txn } => {
                 if command == "TOP" && matches!(self.link, LinkState::Resuming(..) | LinkState::Late) {
                     self.resume();
@@ -82,32 +82,88 @@
         }
     }
 
+    /// A run waits for a call. One that already did has taken a reply that was told again, of an earlier call, for this
+    /// one's: it goes on by what it waits for now, or all its later replies would come one call late.
+    fn waits(&mut self, id: RequestId, need: Need) {
+        let Some(entry) = self.table.get_mut(id) else { return };
+        match entry.work.clone() {
+            Work::Running { since, halting, .. } => {
+                entry.work = Work::AtCall { since, need, halting };
+                self.events.push(Event::NeedsCall(id));
+            }
+            Work::AtCall { since, halting, .. } => entry.work = Work::AtCall { since, need, halting },
+            Work::Calling { since, halting, call, until, .. } => {
+                let _ = self.store.give_up(call);
+                self.call_timers.remove(&(until, id));
+                // What stands to be called now never was.
+                self.call_ended(id, Outcome::Moot);
+                if let Some(entry) = self.table.get_mut(id) {
+                    entry.work = Work::AtCall { since, need, halting };
+                }
+            }
+            Work::Held | Work::Paused { .. } | Work::Waiting { .. } => {}
+        }
+    }
+
     /// All notices that were missed are in: what still runs is told again.
     fn resume(&mut self) {
         let late = std::mem::replace(&mut self.link, LinkState::Up) == LinkState::Late;
-        let again = |work: &Work| matches!(work, Work::Running { in_doubt, .. } if *in_doubt || !late);
-        for id in self.table.find(|entry| again(&entry.work)) {
-            if let Some(Work::Running { in_doubt, .. }) = self.table.get_mut(id).map(|e| &mut e.work) {
-                *in_doubt = false;
-            }
-            self.tell(id);
-        }
+        self.tell_where(|delivery| !late || !matches!(delivery, Delivery::Here { .. }));
     }
 
     /// Notices that were missed may yet come: only what no link was told before is told.
     pub(crate) fn resume_late(&mut self) {
         self.link = LinkState::Late;
-        for id in self.table.find(|entry| matches!(entry.work, Work::Running { in_doubt: false, .. })) {
+        self.tell_where(|delivery| matches!(delivery, Delivery::Here { .. }));
+    }
+
+    /// Tells what runs and passes the test, on this link now.
+    fn tell_where(&mut self, test: impl Fn(Delivery) -> bool) {
+        let passes = |work: &Work| matches!(work, Work::Running { delivery, .. } if test(*delivery));
+        for id in self.table.find(|entry| passes(&entry.work)) {
+            if let Some(Work::Running { delivery, .. }) = self.table.get_mut(id).map(|e| &mut e.work) {
+                if *delivery != Delivery::Taken {
+                    *delivery = Delivery::Here { before: self.next_nonce };
+                }
+            }
             self.tell(id);
         }
     }
 
-    /// The link broke: the interpreter may have taken what it was told, or not.
+    /// More notices were missed than are kept, so an end may be among those that never come. What may have ended is
+    /// not run again, unless that does no harm, and must not keep its place for ever: it counts as failed.
+    fn missed(&mut self) {
+        warn!("notices were made that the interpreter keeps no longer");
+        let settings = &self.settings;
+        let lost = self.table.find(|entry| match &entry.work {
+            Work::Running { delivery: Delivery::Here { .. }, .. } => false,
+            Work::Running { told: Told::Apply, halting: Halting::No, .. } => {
+                settings.classes[entry.class.0].effect != Effect::Safe
+            }
+            Work::Running { .. } => true,
+            // A run ends at a call only once nobody waits for its request.
+            Work::AtCall { .. } | Work::Calling { .. } => entry.reply.is_none(),
+            Work::Held | Work::Paused { .. } | Work::Waiting { .. } => false,
+        });
+        for id in lost {
+            self.run_ended(id, End::Error, Bytes::new());
+        }
+    }
+
+    /// The link broke: the interpreter may have taken what it was told, or not. A reply names no call, so one that it
+    /// has must not be told again: the run may wait for its next call by then. The rest can be.
     fn doubt(&mut self) {
         for id in self.table.find(|entry| matches!(entry.work, Work::Running { .. })) {
-            if let Some(Work::Running { in_doubt, .. }) = self.table.get_mut(id).map(|e| &mut e.work) {
-                *in_doubt = true;
-            }
+            let Some(Work::Running { delivery, told, .. }) = self.table.get_mut(id).map(|e| &mut e.work)
+            else {
+                continue;
+            };
+            let taken = matches!(delivery, Delivery::Here { before } if *before <= self.answered);
+            *delivery = match (*delivery, told) {
+                (Delivery::Taken, _) => Delivery::Taken,
+                (_, Told::Resolve(_)) if taken => Delivery::Taken,
+                _ => Delivery::InDoubt,
+            };
         }
     }
 
@@ -115,8 +171,9 @@
     pub(crate) fn run_ended(&mut self, id: RequestId, end: End, body: Bytes) {
         let Some(entry) = self.table.get_mut(id) else { return };
         let (since, halted) = match &entry.work {
-            Work::Running { since, halting, .. } => (*since, *halting == Halting::Asked),
-            Work::AtCall { since, .. } | Work::Calling { since, .. } => (*since, false),
+            Work::Running { since, halting, .. }
+            | Work::AtCall { since, halting, .. }
+            | Work::Calling { since, halting, .. } => (*since, *halting == Halting::Asked),
             Work::Held | Work::Paused { .. } | Work::Waiting { .. } => return,
         };
         let outcome = match end {
@@ -158,8 +215,12 @@
     /// A call has come back, or is given up: the run stands where it stood before.
     pub(crate) fn call_ended(&mut self, id: RequestId, outcome: Outcome) {
         let Some(entry) = self.table.get_mut(id) else { return };
-        let Work::Calling { since, need, made, .. } = entry.work.clone() else { return };
-        entry.work = Work::AtCall { since, need };
+        let Work::Calling { since, need, halting, made, .. } = entry.work.clone() else { return };
+        entry.work = Work::AtCall { since, need, halting };
         self.events.push(Event::Called { id, outcome, latency: self.now - made });
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/hear.rs"]
+mod tests;
--- a/crates/heathspurd/src/table.rs
+++ b/crates/heathspurd/src/table.rs
@@ -17,13 +17,24 @@
     Stub(u64),
 }
 
-/// Whether a run is to be stopped.
+/// Whether a run is to be stopped. It holds until the run ends, also where the run comes to a call meanwhile.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Halting {
     No,
     Asked,
 }
 
+/// What is known of the command that a run was told last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Delivery {
+    /// On no link that broke: on this one, before the question of this number, or on none yet.
+    Here { before: u64 },
+    /// On a link that broke, so it may be lost; and what is not heard yet may be that the run has ended.
+    InDoubt,
+    /// On a link that broke after it had answered a later question: the interpreter has it.
+    Taken,
+}
+
 /// The call that a run waits for.
 #[derive(Clone, Debug)]
 pub(crate) struct Need {
@@ -40,8 +51,7 @@
         since: Time,
         told: Told,
         halting: Halting,
-        /// It was told on a link that broke, so what is not heard yet may be that it has ended.
-        in_doubt: bool,
+        delivery: Delivery,
     },
     Paused {
         since: Time,
@@ -49,10 +59,12 @@
     AtCall {
         since: Time,
         need: Need,
+        halting: Halting,
     },
     Calling {
         since: Time,
         need: Need,
+        halting: Halting,
         call: CallId,
         made: Time,
         until: Time,
