Begin rare calls in slots of each server's own, and pay turned-away ones under the guard

Lines to blame: call_room() lets a call begin whenever pace >= 0, and count_hands() keeps what an idle server saved up, so each idle one begins at once; call_ended() charged a call that was turned away to the pace only, which does not act from one call in hand on. Ruled out: the first call's draw (it is over by then) and the guard (each keeps its own longer window).

Change: where the pace comes to less than one call in the window, what is saved up comes round as a slot, a quarter of the time that pays for a call. A call turned away counts in the guard like a usual one.

--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -71,6 +71,8 @@
 /// Seconds of paced calls that may come at once, and the part of them kept for calls that must be made.
 const PACE_BURST: f64 = 1.0;
 const PACE_KEPT: f64 = 0.5;
+/// Part of the time between two calls that are rarer than the window, in which one that is saved up may begin.
+const PACE_SLOT: f64 = 0.25;
 /// The first call is of unknown length: lingers that it may take, itself and abandoned, and as much again.
 const FIRST_LINGERS: f64 = 4.0;
 /// Call time over its quiet level past which fewer calls are made at once, and by how much.
@@ -626,7 +628,9 @@
         let whole = PART_USED * part * over - linger;
         let left = whole - self.promised - self.spent.iter().map(|s| s.1).sum::<f64>();
         let kept = if can_skip { PACE_KEPT } else { 0.0 };
-        let paced = self.call_cap >= 1.0 || self.pace >= kept * PACE_BURST * self.call_cap;
+        let saved = self.rare_call().map_or(PACE_BURST * self.call_cap, |call| PACE_SLOT * call);
+        let in_slot = self.rare_call().is_none() || self.pace < saved;
+        let paced = self.call_cap >= 1.0 || in_slot && self.pace >= kept * saved;
         let at_once = (self.calling as f64) < self.call_cap.max(1.0).floor();
         left * f64::from(u8::from(paced && at_once && left >= usual.min(0.5 * whole)))
     }
@@ -650,12 +654,27 @@
         self.pace = -self.chance() * (first / (PART_USED * part)).min(over) * self.call_cap;
     }
 
+    /// The seconds of a usual call where we are paced to fewer than one in the time of the mean. Of such calls one
+    /// that is saved up begins in its slot only: a slot comes round as often as the pace pays for a call, at a moment
+    /// that is each server's own. Else all that are idle would begin one at once when requests reach them at once.
+    /// Hurts where requests are rare: the first one waits for the slot, though nobody else calls.
+    fn rare_call(&self) -> Option<f64> {
+        let Dependency::Shared { over, linger, .. } = self.set.dependency else { return None };
+        let call = self.call_time.or(linger.secs());
+        (call > self.call_cap * over.secs()).then_some(call)
+    }
+
     /// Brings what calls in hand and ended calls take up to now.
     fn count_hands(&mut self) {
         let (passed, over) = ((self.now - self.paced_at).secs(), self.shared().map_or(0.0, |s| s.1));
         self.paced_at = self.now;
         let (most, least) = (PACE_BURST * self.call_cap, -over * self.call_cap);
-        self.pace = (self.pace + (self.call_cap - self.calling as f64) * passed).clamp(least, most);
+        let pace = (self.pace + (self.call_cap - self.calling as f64) * passed).max(least);
+        self.pace = match self.rare_call() {
+            Some(call) if pace > 0.0 => pace % call,
+            Some(_) => pace,
+            None => pace.min(most),
+        };
         while self.spent.front().is_some_and(|s| s.0 <= self.now) {
             self.spent.pop_front();
         }
@@ -695,13 +714,16 @@
         self.calling -= 1;
         let Some((part, over, linger)) = self.shared() else { return };
         self.promised -= limit + linger;
-        let lingers = if matches!(outcome, Outcome::Timeout | Outcome::Cancelled) { linger } else { 0.0 };
-        let until = self.now + Span::from_secs(lingers + over);
-        self.spent.push_back((until, (self.now - since).secs() + lingers));
-        // One that was turned away is paid for as a usual one: else all save up while the dependency is full,
-        // and are back at it in step. Hurts where it is full for single calls only.
-        let unpaid = (self.call_time.or(linger) - (self.now - since).secs()).max(0.0);
-        self.pace -= lingers + if outcome == Outcome::Full { unpaid } else { 0.0 };
+        let took = (self.now - since).secs();
+        let rest = match outcome {
+            Outcome::Timeout | Outcome::Cancelled => linger,
+            // One that was turned away is paid for as a usual one: else all save up while the dependency is full,
+            // are back at it in step, and begin more than their parts. Hurts where it is full for single calls.
+            Outcome::Full => (self.call_time.or(linger) - took).max(0.0),
+            _ => 0.0,
+        };
+        self.spent.push_back((self.now + Span::from_secs(rest + over), took + rest));
+        self.pace -= rest;
         // Growth of a part of a call is for calls held back, and for none that was turned away.
         let (step, binds) =
             ((PART_LEAST * part).min(1.0), self.call_cap >= 1.0 || 1 + self.calling < self.at_calls);
--- a/crates/heathspur/tests/fleet.rs
+++ b/crates/heathspur/tests/fleet.rs
@@ -478,6 +478,51 @@
     }
 }
 
+/// Holds the calls begun in a window against what the sum of the parts allows, chance among it.
+fn begins_no_more(plan: &Plan) {
+    for seed in 1..=3 {
+        let fleet = Fleet::play(Plan { seed, ..plan.clone() });
+        let (_, begun) = fleet.most(OVER);
+        let allowed = fleet.allowed(OVER);
+        assert!(begun as f64 <= allowed, "{begun} calls begun, {allowed:.1} allowed: {:?}", fleet.plan);
+        // They do go out: a tenth of what is wanted or paid for in the whole run, at least.
+        let pays = fleet.sum() * fleet.plan.length / fleet.plan.call;
+        let least = 0.1 * pays.min(fleet.ids as f64);
+        assert!(
+            fleet.calls.len() as f64 > least,
+            "{} calls of {least:.0}: {:?}",
+            fleet.calls.len(),
+            fleet.plan
+        );
+    }
+}
+
+#[test]
+fn requests_that_reach_an_idle_fleet_at_once_begin_no_more_calls_than_its_parts_allow() {
+    for instances in [20, 30] {
+        for (part, call) in [(0.02, 0.4), (0.05, 0.4), (0.1, 1.0), (0.25, 1.0), (1.0, 0.4)] {
+            let rare = Plan {
+                in_step: true,
+                at_start: 0,
+                rate: 0.05,
+                length: 80.0,
+                ..Plan::new(instances, part, call)
+            };
+            begins_no_more(&rare);
+            begins_no_more(&Plan { rate: 0.1, ..rare });
+        }
+    }
+}
+
+#[test]
+fn calls_that_are_turned_away_count_as_begun_where_a_part_holds_some() {
+    for instances in [20, 30] {
+        for (part, call) in [(0.5, 1.0), (1.0, 0.4), (2.5, 0.4)] {
+            begins_no_more(&Plan { full: (8.0, 14.0), ..Plan::new(instances, part, call) });
+        }
+    }
+}
+
 #[test]
 fn a_lone_start_waits_for_its_first_call_no_longer_than_its_part_pays_for_one() {
     for part in [0.1, 0.25, 0.5, 1.0, 2.5] {
