Decide the reports to the announce service in a core without I/O and clock

Cause: when to dial, when to report and what a late, failed or out-of-order answer means stood in heathspurd/src/announce.rs among sockets and Instant::now(), so only process tests on real time could hold it. Its rules (two lines at most, no older report has the last word, no lapse) were checked by examples only.

Change: new crate heathspur-front, without dependencies. announce::Schedule takes events (ready, moved, up, lost, sent, spent, answered) with the time that passed, and says actions (dial, report, close, failed) and when to wake. The constants and the order of steps are the old ones; the daemon's announce.rs keeps sockets, futures and the log. A line is looked at once more before a report as before: the schedule asks for the report until it is told sent or spent.

Seen by the properties, left as it was: when what is reported changes and changes back while a first report still waits for its answer, that answer passes for the news, and it is told a period (800 ms) later.

--- /dev/null
+++ b/crates/heathspur-front/src/lib.rs
@@ -0,0 +1,10 @@
+//! Decisions of a server around its traffic, without I/O and clocks: events in, actions out. Who carries them out
+//! moves bytes and nothing else.
+//!
+//! [`announce`] is the schedule of reports to the announce service.
+//!
+//! What is let in, in what order it runs and what is turned away is not decided here but by `heathspur`. Times are
+//! those that passed since any point, the same one for all calls of one object.
+#![forbid(unsafe_code)]
+
+pub mod announce;
--- a/crates/heathspurd/src/announce.rs
+++ b/crates/heathspurd/src/announce.rs
@@ -1,16 +1,11 @@
-//! Reports to the announce service: one a period, at once on a change, again soon after a failure.
-//!
-//! An entry lapses 3 s after the last report that counted, so no single fault may hold reports up for so
-//! long: a report that stays unanswered, and a dial that stands, are not broken off at once, but a second
-//! connection is tried beside them. Reports on two connections may be taken in either order; so when one of
-//! another content has ended, what holds now is told again. One that was given up unanswered can be taken
-//! yet: the next report, a period later at most, puts that right.
+//! Carries out the schedule of reports to the announce service ([`heathspur_front::announce`]): dials, sends, answers.
 
 use crate::link::{self, Inflow, Target};
 use crate::notify::Notify;
 use crate::tape::Stream;
 use async_io::Timer;
 use futures_lite::{future, AsyncWriteExt};
+use heathspur_front::announce::{Action, Event, Failure, Line, Schedule, DIAL};
 use heathspur_wire::http::{self, Fields, Limits, Reader};
 use std::cell::Cell;
 use std::future::Future;
@@ -19,21 +14,9 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tracing::warn;
 
-/// Time between reports, and after one that failed.
-const PERIOD: Duration = Duration::from_millis(800);
-const AGAIN: Duration = Duration::from_millis(100);
-/// What stands longer has another connection tried beside it.
-const PATIENCE: Duration = Duration::from_millis(300);
-/// The longest waits for an answer, for a connection, and for one that is tried beside another dial: the
-/// system sends a dial's lost packet again after a second.
-const ANSWER: Duration = Duration::from_secs(2);
-const DIAL: Duration = Duration::from_secs(10);
-const SECOND_DIAL: Duration = Duration::from_millis(1250);
-/// Connections at once, dials among them.
-const MOST: usize = 2;
 const LIMITS: Limits = Limits { head: 4 * 1024, body: 4 * 1024 };
 
 /// What is reported; nothing until it is known.
@@ -63,10 +46,12 @@
             continue;
         };
         if reporter.address != target.get() {
-            reporter = Reporter::new(target.get(), reporter.name);
+            reporter.address = target.get();
+            reporter.handle(Event::Moved);
         }
-        reporter.act(ready);
-        let (address, next) = (reporter.address, reporter.next_time(ready));
+        reporter.handle(Event::Ready(ready));
+        reporter.act();
+        let (address, next) = (reporter.address, reporter.next_time());
         let changed = async {
             future::or(readiness.changed.notified(), target.moved(address)).await;
             None
@@ -80,19 +65,19 @@
         };
         let ended = async { Some(reporter.ended().await) };
         if let Some((at, ended)) = future::or(ended, future::or(changed, time)).await {
-            reporter.take(at, ended, ready);
+            reporter.take(at, ended);
         }
     }
 }
 
 type Boxed<T> = Pin<Box<dyn Future<Output = io::Result<T>>>>;
 
-/// What a connection is at.
+/// What a line has under way.
 enum Step {
     Dial(Boxed<Stream>),
     Idle(Stream),
-    /// A report of this content is on its way: the answer's status, and the connection where it stays open.
-    Told(bool, Boxed<(u16, Option<Stream>)>),
+    /// The answer's status, and the connection where it stays open.
+    Told(Boxed<(u16, Option<Stream>)>),
 }
 
 /// What a step came to.
@@ -100,26 +85,12 @@
     Up(io::Result<Stream>),
     /// Closed by the other side, or bytes came unasked.
     Spent,
-    Answered(bool, io::Result<(u16, Option<Stream>)>),
+    Answered(io::Result<(u16, Option<Stream>)>),
 }
 
-/// A connection, or the dial for one.
-struct Line {
-    step: Step,
-    since: Instant,
-    /// When the step has taken too long.
-    until: Option<Instant>,
-    /// It carried a report before: the other side may have closed it meanwhile.
-    kept: bool,
-}
-
-impl Line {
-    fn is_idle(&self) -> bool {
-        matches!(self.step, Step::Idle(_))
-    }
-
+impl Step {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Ended> {
-        match &mut self.step {
+        match self {
             Step::Dial(dial) => dial.as_mut().poll(cx).map(Ended::Up),
             Step::Idle(stream) => loop {
                 match stream.poll_readable(cx) {
@@ -129,7 +100,7 @@
                     Poll::Ready(_) => return Poll::Ready(Ended::Spent),
                 }
             },
-            Step::Told(said, answer) => answer.as_mut().poll(cx).map(|ended| Ended::Answered(*said, ended)),
+            Step::Told(answer) => answer.as_mut().poll(cx).map(Ended::Answered),
         }
     }
 }
@@ -137,91 +108,82 @@
 struct Reporter {
     address: SocketAddr,
     name: String,
-    /// At most `MOST`, oldest first.
-    lines: Vec<Line>,
-    /// The last report's content, and when the next one is due.
-    said: Option<bool>,
-    due: Instant,
-    /// No dial before this, and how long the last one took.
-    dial_at: Instant,
-    took: Duration,
+    schedule: Schedule,
+    /// The schedule's time is what passed since then.
+    start: Instant,
+    /// In the order that they came to their step.
+    lines: Vec<(Line, Step)>,
+    /// The fault that the schedule was told of last.
+    fault: Option<io::Error>,
 }
 
 impl Reporter {
     fn new(address: SocketAddr, name: String) -> Reporter {
-        let now = Instant::now();
-        Reporter {
-            address,
-            name,
-            lines: Vec::new(),
-            said: None,
-            due: now,
-            dial_at: now,
-            took: Duration::ZERO,
-        }
+        let start = Instant::now();
+        let schedule = Schedule::new(start.elapsed());
+        Reporter { address, name, schedule, start, lines: Vec::new(), fault: None }
     }
 
-    /// Does what is due: gives up what took too long, reports, dials.
-    fn act(&mut self, ready: bool) {
-        let now = Instant::now();
-        if self.said.replace(ready) != Some(ready) {
-            self.due = now;
-        }
-        while let Some(at) = self.lines.iter().position(|line| line.until.is_some_and(|until| until <= now)) {
-            let late = || io::Error::from(io::ErrorKind::TimedOut);
-            let ended = match self.lines[at].step {
-                Step::Told(said, _) => Ended::Answered(said, Err(late())),
-                Step::Dial(_) | Step::Idle(_) => Ended::Up(Err(late())),
-            };
-            self.take(at, ended, ready);
+    fn handle(&mut self, event: Event) {
+        self.schedule.handle(self.start.elapsed(), event);
+    }
+
+    /// Does what is due.
+    fn act(&mut self) {
+        let now = self.start.elapsed();
+        while let Some(action) = self.schedule.poll(now) {
+            match action {
+                Action::Dial(line) => {
+                    let dial = Box::pin(link::connect(self.address, DIAL, None));
+                    self.lines.push((line, Step::Dial(dial)));
+                }
+                Action::Report { line, ready } => {
+                    let event = self.send(line, ready);
+                    self.schedule.handle(now, event);
+                }
+                Action::Close(line) => drop(self.remove(line)),
+                Action::Failed(why) => self.warn(why),
+            }
         }
-        while self.due <= now {
-            let Some(at) = self.lines.iter().position(Line::is_idle) else { break };
-            let line = self.lines.remove(at);
+    }
+
+    fn remove(&mut self, line: Line) -> Option<Step> {
+        let at = self.lines.iter().position(|(other, _)| *other == line)?;
+        Some(self.lines.remove(at).1)
+    }
+
+    fn send(&mut self, line: Line, ready: bool) -> Event {
+        match self.remove(line) {
             // An answer that comes before the report is none to it.
-            let Step::Idle(stream) = line.step else { break };
-            if link::is_quiet(&stream) {
-                let step = Step::Told(ready, Box::pin(exchange(stream, self.report(ready))));
-                self.lines.push(Line { step, since: now, until: Some(now + ANSWER), kept: line.kept });
-                self.due = now + PATIENCE;
-            } else {
-                self.spent(line.kept, now);
+            Some(Step::Idle(stream)) if link::is_quiet(&stream) => {
+                let answer = Box::pin(exchange(stream, self.report(ready)));
+                self.lines.push((line, Step::Told(answer)));
+                Event::Sent(line)
             }
-        }
-        if self.dial_from(ready).is_some_and(|at| at <= now) {
-            let beside = self.lines.iter().any(|line| matches!(line.step, Step::Dial(_)));
-            let step = Step::Dial(Box::pin(link::connect(self.address, DIAL, None)));
-            let until = Some(now + if beside { SECOND_DIAL } else { DIAL });
-            self.lines.push(Line { step, since: now, until, kept: false });
+            _ => Event::Spent(line),
         }
     }
 
-    /// When the next dial is due, if one is: so early that the connection is up when the report is due, and
-    /// beside another one when that has stood for too long or tells what holds no more.
-    fn dial_from(&self, ready: bool) -> Option<Instant> {
-        if self.lines.len() >= MOST || self.lines.iter().any(Line::is_idle) {
-            return None;
-        }
-        let from = self.dial_at.max(self.due.checked_sub(self.took).unwrap_or(self.due));
-        Some(match self.lines.first() {
-            Some(Line { step: Step::Told(said, _), .. }) if *said != ready => from,
-            Some(line) => from.max(line.since + PATIENCE),
-            None => from,
-        })
+    fn warn(&mut self, why: Failure) {
+        let e = match why {
+            Failure::Late => io::ErrorKind::TimedOut.into(),
+            Failure::Lost => self.fault.take().unwrap_or_else(|| io::ErrorKind::Other.into()),
+            Failure::Spent => io::ErrorKind::UnexpectedEof.into(),
+            Failure::Status(status) => io::Error::other(format!("status {status}")),
+        };
+        warn!(error = %e, "the announce service did not take a report: {e}");
     }
 
     /// When there is something to do again.
-    fn next_time(&self, ready: bool) -> Option<Instant> {
-        let due = self.lines.iter().any(Line::is_idle).then_some(self.due);
-        let limits = self.lines.iter().filter_map(|line| line.until);
-        limits.chain(due).chain(self.dial_from(ready)).min()
+    fn next_time(&self) -> Option<Instant> {
+        self.schedule.wake().map(|at| self.start + at)
     }
 
     /// Waits until a step has ended.
     async fn ended(&mut self) -> (usize, Ended) {
         future::poll_fn(|cx| {
-            for (at, line) in self.lines.iter_mut().enumerate() {
-                if let Poll::Ready(ended) = line.poll(cx) {
+            for (at, (_, step)) in self.lines.iter_mut().enumerate() {
+                if let Poll::Ready(ended) = step.poll(cx) {
                     return Poll::Ready((at, ended));
                 }
             }
@@ -231,54 +193,26 @@
     }
 
     /// Takes in what a connection's step came to.
-    fn take(&mut self, at: usize, ended: Ended, ready: bool) {
-        let (line, now) = (self.lines.remove(at), Instant::now());
-        match ended {
+    fn take(&mut self, at: usize, ended: Ended) {
+        let (line, _) = self.lines.remove(at);
+        let event = match ended {
             Ended::Up(Ok(stream)) => {
-                self.took = now - line.since;
-                self.lines.push(Line { step: Step::Idle(stream), since: now, until: None, kept: false });
+                self.lines.push((line, Step::Idle(stream)));
+                Event::Up(line)
             }
-            Ended::Up(Err(e)) => self.failed(&e, now),
-            Ended::Spent => self.spent(line.kept, now),
-            Ended::Answered(said, ended) => {
-                match ended {
-                    Ok((status, stream)) => {
-                        // One connection is enough from here on; what is under way on another may end there.
-                        self.lines.retain(|line| matches!(line.step, Step::Told(..)));
-                        if let Some(stream) = stream {
-                            let step = Step::Idle(stream);
-                            self.lines.push(Line { step, since: now, until: None, kept: true });
-                        }
-                        self.due = now + if status == 204 { PERIOD } else { AGAIN };
-                        if status != 204 {
-                            self.failed(&io::Error::other(format!("status {status}")), now);
-                        }
-                    }
-                    // Closed by the other side meanwhile: a new connection tells at once.
-                    Err(e) if line.kept && e.kind() != io::ErrorKind::TimedOut => self.due = now,
-                    Err(e) => {
-                        self.due = now + AGAIN;
-                        self.failed(&e, now);
-                    }
-                }
-                // The last word was what holds no more.
-                if said != ready {
-                    self.due = now;
-                }
+            Ended::Answered(Ok((status, stream))) => {
+                let open = stream.is_some();
+                self.lines.extend(stream.map(|stream| (line, Step::Idle(stream))));
+                Event::Answered { line, status, open }
             }
-        }
-    }
-
-    fn failed(&mut self, e: &io::Error, now: Instant) {
-        warn!(error = %e, "the announce service did not take a report: {e}");
-        self.dial_at = now + AGAIN;
-    }
-
-    /// An idle connection can't be used. One that was kept may end at any time.
-    fn spent(&mut self, kept: bool, now: Instant) {
-        if !kept {
-            self.failed(&io::ErrorKind::UnexpectedEof.into(), now);
-        }
+            Ended::Spent => Event::Spent(line),
+            Ended::Up(Err(e)) | Ended::Answered(Err(e)) => {
+                let late = e.kind() == io::ErrorKind::TimedOut;
+                self.fault = Some(e);
+                Event::Lost { line, late }
+            }
+        };
+        self.handle(event);
     }
 
     fn report(&self, ready: bool) -> Vec<u8> {
