Decide which connection leaves for another in a core without I/O and clock

Cause: the ranks, the reserve and who is asked stood in heathspurd/src/pool.rs among channels and elapsed(), so the rank that time gives (250 ms without a first request) had no unit test.

Change: heathspur_front::permits::Permits holds the count, the two tables, the ranks and make_room with the time passed in; it says whom to ask, the pool does. Constants and order are the old ones. The tables hold the same senders, so a request allocates what it did; make_room reads the clock once instead of once for each idle connection.

Tests: the two unit tests' decisions moved along with the code. The pool's own go through make_room now, with eight permits: the case that must has none left, the other one has one, since ask_one is the core's.

--- a/crates/heathspur-front/src/lib.rs
+++ b/crates/heathspur-front/src/lib.rs
@@ -1,10 +1,12 @@
 //! Decisions of a server around its traffic, without I/O and clocks: events in, actions out. Who carries them out
 //! moves bytes and nothing else.
 //!
-//! [`announce`] is the schedule of reports to the announce service.
+//! [`announce`] is the schedule of reports to the announce service. [`permits`] says how many connections there may be,
+//! and which one leaves when another needs its permit.
 //!
 //! What is let in, in what order it runs and what is turned away is not decided here but by `heathspur`. Times are
 //! those that passed since any point, the same one for all calls of one object.
 #![forbid(unsafe_code)]
 
 pub mod announce;
+pub mod permits;
--- a/crates/heathspurd/tests/unit/pool.rs
+++ b/crates/heathspurd/tests/unit/pool.rs
@@ -11,21 +11,24 @@
 
 #[test]
 fn one_that_has_just_come_stays_where_others_rest_for_longer() {
-    let pool = Rc::new(Pool::new(2));
-    let (old, new) = (Permit::take(&pool).unwrap(), Permit::take(&pool).unwrap());
+    let pool = Rc::new(Pool::new(8));
+    let mut busy: Vec<Permit> = std::iter::from_fn(|| Permit::take(&pool)).collect();
+    let (old, new) = (busy.pop().unwrap(), busy.pop().unwrap());
     old.heard();
     let mut resting = pin!(old.idle(pending::<()>()));
     assert!(polled(resting.as_mut()).is_pending());
     let mut fresh = pin!(new.idle(pending::<()>()));
     assert!(polled(fresh.as_mut()).is_pending());
-    pool.ask_one(true);
+    pool.make_room();
     assert_eq!(polled(resting.as_mut()), Poll::Ready(Err(Asked::Idle)));
     assert!(polled(fresh.as_mut()).is_pending());
     // The last one left is in the midst of a request, and leaves only if it has to.
     new.begun();
-    pool.ask_one(false);
+    drop(busy.pop());
+    pool.make_room();
     assert!(polled(fresh.as_mut()).is_pending());
-    pool.ask_one(true);
+    busy.push(Permit::take(&pool).unwrap());
+    pool.make_room();
     assert_eq!(polled(fresh.as_mut()), Poll::Ready(Err(Asked::Begun)));
 }
 
