Decide whose a configuration is that is read again in a core without I/O

Cause: which fields of a configuration read on SIGHUP are the server's own, and which wait for the next start, stood in heathspurd/src/config.rs beside the reading of files, and only the rig's file could check it.

Change: heathspur_front::reload::check_own and differs, pure functions over two views of a configuration. Fields, their order and the words of the errors are the old ones; Config keeps the file.

Tests: the daemon's two unit tests stay as they were and go through it. Two properties over 1,000 pairs: the field named is the first of the identity that differs, and what is told beside is just what holds from the start on and differs.

--- a/crates/heathspur-front/src/lib.rs
+++ b/crates/heathspur-front/src/lib.rs
@@ -2,7 +2,8 @@
 //! moves bytes and nothing else.
 //!
 //! [`announce`] is the schedule of reports to the announce service. [`permits`] says how many connections there may be,
-//! and which one leaves when another needs its permit.
+//! and which one leaves when another needs its permit. [`reload`] says what of a configuration that is read again may
+//! hold.
 //!
 //! What is let in, in what order it runs and what is turned away is not decided here but by `heathspur`. Times are
 //! those that passed since any point, the same one for all calls of one object.
@@ -10,3 +11,4 @@
 
 pub mod announce;
 pub mod permits;
+pub mod reload;
--- a/crates/heathspurd/src/config.rs
+++ b/crates/heathspurd/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration file: where the server listens, whom it talks to, its limits and its settings.
 
 use heathspur::Settings;
+use heathspur_front::reload::{self, Foreign, View};
 use heathspur_settings::{Facts, Names};
 use serde::{Deserialize, Deserializer};
 use std::fmt;
@@ -101,58 +102,37 @@
     std::env::var_os(VARIABLE).ok_or(Fault::Unset)
 }
 
-/// Says that a field tells another server or customer apart.
-fn check_same<T: PartialEq + fmt::Debug>(field: &str, other: &T, own: &T) -> Result<(), (String, String)> {
-    if other == own {
-        return Ok(());
-    }
-    Err((field.to_string(), format!("it is of another server or customer: {other:?}, not {own:?}")))
-}
-
 impl Config {
     /// Gives a later one back where it is this server's: of its name, its address and its tier, and of a
     /// customer whose classes and tenants have the same names and whose keys hold in the same way. All else
     /// may change while the server stays the same one.
     pub fn check_own(&self, other: Config) -> Result<Config, Fault> {
-        match self.check_identity(&other) {
+        match reload::check_own(&self.view(), &other.view()) {
             Ok(()) => Ok(other),
-            Err((field, what)) => Err(Fault::Wrong { file: other.file.unwrap_or_default(), field, what }),
+            Err(Foreign { field, what }) => {
+                Err(Fault::Wrong { file: other.file.unwrap_or_default(), field, what })
+            }
         }
     }
 
-    fn check_identity(&self, other: &Config) -> Result<(), (String, String)> {
-        check_same("name", &other.name, &self.name)?;
-        check_same("listen", &other.listen, &self.listen)?;
-        // The last tier has none.
-        if other.store.is_some() != self.store.is_some() {
-            check_same("store", &other.store, &self.store)?;
-        }
-        check_same("settings.services", &other.names.classes.len(), &self.names.classes.len())?;
-        for (i, (class, own)) in other.settings.classes.iter().zip(&self.settings.classes).enumerate() {
-            let field = |name| format!("settings.services[{i}].{name}");
-            check_same(&field("name"), &other.names.classes[i], &self.names.classes[i])?;
-            check_same(&field("effect"), &class.effect, &own.effect)?;
-            check_same(&field("dedup-window-s"), &class.window.secs(), &own.window.secs())?;
-        }
-        check_same("settings.realms", &other.names.tenants.len(), &self.names.tenants.len())?;
-        for (i, (tenant, own)) in other.names.tenants.iter().zip(&self.names.tenants).enumerate() {
-            check_same(&format!("settings.realms[{i}].name"), tenant, own)?;
+    fn view(&self) -> View<'_> {
+        View {
+            name: &self.name,
+            listen: self.listen,
+            store: self.store,
+            stop: self.stop,
+            memory: self.memory,
+            sockets: self.sockets,
+            settings: &self.settings,
+            classes: &self.names.classes,
+            tenants: &self.names.tenants,
         }
-        Ok(())
     }
 
     /// The fields that hold from the start on and in which a later one of this server's differs. The seed is new
     /// with each start, and so is what the settings say of that moment.
     pub fn differs(&self, other: &Config) -> Vec<&'static str> {
-        let at_start =
-            |settings: &Settings| Settings { servers: 0, callers: 0, cold: false, ..settings.clone() };
-        let fields = [
-            ("stop_ms", self.stop != other.stop),
-            ("limits.memory_mb", self.memory != other.memory),
-            ("limits.sockets", self.sockets != other.sockets),
-            ("settings", at_start(&self.settings) != at_start(&other.settings)),
-        ];
-        fields.into_iter().filter(|(_, differs)| *differs).map(|(field, _)| field).collect()
+        reload::differs(&self.view(), &other.view())
     }
 
     /// Reads a file.
