Check the schedule of reports in every order of events, with three mutants

Change: a stateright model of heathspur_front::announce: dials that come up, fail or stand, a service that takes and answers reports of two lines in any order, a fault, a notice to drain, between 12 steps of 100 ms (past a period and the patience behind it). Rules: two lines at most; while the list holds what is wrong a report is on its way or due; a drain is told as soon as there is a line. It also has to see an older report taken last, that put right, and two dials at once.

All three mutants are found: what holds is not told again after an older report, a drain waits for the next report that is due, what is to be closed stays.

What did not help: a rule that a drain's report is on its way or due at all times. It fails, rightly, while an older report that was taken last still waits for its answer: the end of that one has it told.

--- a/crates/heathspur-front/src/announce.rs
+++ b/crates/heathspur-front/src/announce.rs
@@ -313,3 +313,7 @@
 #[cfg(test)]
 #[path = "../tests/unit/announce.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "../tests/unit/announce_model.rs"]
+mod model;
--- a/crates/heathspur-front/tests/unit/announce.rs
+++ b/crates/heathspur-front/tests/unit/announce.rs
@@ -1,5 +1,5 @@
-//! Tests of `src/announce.rs`, which names this file as its module of tests: the schedule with a service whose dials and
-//! answers come as a plan says, in any order.
+//! Tests of `src/announce.rs`, which names this file as its module of tests: the schedule with a service whose dials
+//! and answers come as a plan says, in any order.
 
 use super::*;
 use proptest::prelude::*;
