Have processes ready in 10 s past peers that refuse, stall or say nothing at first, ten at once too

Cause: readiness in 10 s was held for peers that are slow to take connections (peers.rs) and for ones that never come up (terms.rs). A registry that refuses at first and then comes up, one that takes connections and says nothing, and an interpreter that refuses at first had no test of a process, nor had ten that start again together.

Change: ready.rs has one test each, one of a store that comes up late and is called then, and one of ten processes, killed and started again together over seven kinds of peers, of which nine have to be ready within 10 s. Peers come up by what the process does: six refused connections, a dial that stood 1.5 s, a silent connection that was given up. The slow listener moves from peers.rs to tests/common; a refusing one is a socket that is bound and not listened on, so nobody else gets it.

--- a/crates/heathspur-rig/src/scripted.rs
+++ b/crates/heathspur-rig/src/scripted.rs
@@ -252,7 +252,7 @@
 }
 
 /// An announce service there, and what is reported to it.
-fn announce_at(announce: TcpListener) -> Receiver<Value> {
+pub fn announce_at(announce: TcpListener) -> Receiver<Value> {
     let (report, reports) = mpsc::channel();
     thread::spawn(move || {
         for stream in announce.incoming().flatten() {
--- a/crates/heathspurd/tests/peers.rs
+++ b/crates/heathspurd/tests/peers.rs
@@ -1,60 +1,16 @@
 //! Peers that are slow, silent, or answer out of order: the announce service, the interpreter and the store
-//! as scripted stand-ins. A slow dial is a real one: the listener's queue is full, so the system drops its
-//! packets until the test makes room.
+//! as scripted stand-ins.
 
+mod common;
+
+use common::{Full, SLOW};
 use heathspur_rig::scripted::*;
-use procfs::net::TcpState;
 use serde_json::{json, Value};
-use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Longer than a dial was once waited for; its packet is sent again after about each second.
-const SLOW: Duration = Duration::from_millis(1500);
-
-/// A listener that takes no connection for now.
-struct Full {
-    listener: TcpListener,
-    _first: TcpStream,
-}
-
-impl Full {
-    fn new() -> Full {
-        let listener = local();
-        rustix::net::listen(&listener, 0).unwrap();
-        let _first = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        Full { listener, _first }
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.listener.local_addr().unwrap()
-    }
-
-    /// Waits until one and the same dial has stood for `SLOW`, and makes room for one connection then.
-    fn let_in(self) -> TcpListener {
-        let (start, mut dials) = (Instant::now(), HashMap::new());
-        loop {
-            assert!(start.elapsed() < NEVER, "no dial stood so long");
-            let open: Vec<_> = procfs::net::tcp().unwrap();
-            let open =
-                open.iter().filter(|c| c.state == TcpState::SynSent && c.remote_address == self.address());
-            let open: Vec<_> = open.map(|c| c.inode).collect();
-            dials.retain(|dial, _| open.contains(dial));
-            for dial in open {
-                dials.entry(dial).or_insert_with(Instant::now);
-            }
-            if dials.values().any(|since| since.elapsed() >= SLOW) {
-                break;
-            }
-            thread::sleep(Duration::from_millis(5));
-        }
-        drop(accept(&self.listener));
-        self.listener
-    }
-}
-
 /// The announce service's end of a connection.
 struct Announce(BufReader<TcpStream>);
 
