Read into one chunk for all connections, so that no room is cleared for each read

Change: what is read lies in one chunk of the thread and is appended to the connection's buffer within the same look. It still never waits, and appends only what has come.

--- a/crates/heathspurd/src/http1/mod.rs
+++ b/crates/heathspurd/src/http1/mod.rs
@@ -12,10 +12,13 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use bytes::{Buf, Bytes, BytesMut};
-use futures_lite::{future, AsyncReadExt};
+use futures_lite::{future, AsyncRead};
 use heathspur_wire::http::{self, Fields, Last, Message, Reader};
+use std::cell::RefCell;
 use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 /// Bounds on a request.
@@ -27,6 +30,13 @@
 const WHOLE: Duration = Duration::from_secs(2);
 /// The longest sleep of an idle connection before it looks at the settings again.
 const LOOK: Duration = Duration::from_millis(500);
+
+thread_local! {
+    /// What is read lies here until its connection's buffer takes it, within one look: room made for it in the
+    /// buffer itself would have to be cleared for each read, and is many times what a request needs.
+    static READ: RefCell<[u8; CHUNK]> = const { RefCell::new([0; CHUNK]) };
+}
+
 /// Why a connection's next request is none.
 enum Ended {
     /// The other side closed it, or it failed.
@@ -213,11 +223,20 @@
 /// Appends what has come already; none where nothing has. It never waits, so nothing can break it off half-way
 /// and leave bytes in the buffer that nobody sent.
 async fn look(mut stream: &Stream, buffer: &mut BytesMut) -> Option<io::Result<usize>> {
-    let held = buffer.len();
-    buffer.resize(held + CHUNK, 0);
-    let read = future::poll_once(stream.read(&mut buffer[held..])).await;
-    buffer.truncate(held + read.as_ref().map_or(0, |read| *read.as_ref().unwrap_or(&0)));
-    read
+    let looked = future::poll_fn(|cx| {
+        let read = READ.with_borrow_mut(|chunk| {
+            let read = Pin::new(&mut stream).poll_read(cx, chunk);
+            if let Poll::Ready(Ok(count)) = read {
+                buffer.extend_from_slice(&chunk[..count]);
+            }
+            read
+        });
+        Poll::Ready(match read {
+            Poll::Ready(read) => Some(read),
+            Poll::Pending => None,
+        })
+    });
+    looked.await
 }
 
 /// Makes a request of a message, or says why it is none. `whole` holds the message and nothing else.
