Let what came while the process stood still be read before its late timers

Lines to blame: Owner::work yields once before it decides, but the reactor wakes timers before readers, and where its own thread does so the owner runs before the link's task was woken at all. Ruled out: the gauges' wait (the timer that gave the run up had none) and the order in which a turn takes events.

Change: where the next timer is 10 ms late or more, 1 ms in which the reactor comes round; a timer of no length would be ready at once and not pass it. Not forced by a barrier: the order is the reactor's own, so the test stays one of many plays (36 processes each).

--- a/crates/heathspurd/src/work.rs
+++ b/crates/heathspurd/src/work.rs
@@ -19,6 +19,10 @@
 /// Requests, and events of other kinds, that are taken in at once.
 const REQUESTS_AT_ONCE: usize = 64;
 pub(crate) const EVENTS: usize = 1024;
+/// A timer that is so late says that the process stood still. What has come meanwhile is read within this: by then the
+/// reactor, which wakes timers first and may do so from its own thread, has woken those who read as well.
+const STOOD: Span = Span(10_000);
+const READ: Duration = Duration::from_millis(1);
 /// A timer of the module waits so long for the gauges.
 const GAUGES: Span = Span(10_000);
 pub(crate) const PRUNE: Span = Span(1_000_000);
@@ -45,6 +49,10 @@
             // What has arrived comes before a timer that is late: let it be read first.
             future::yield_now().await;
             self.now = self.clock.now();
+            if self.next_time().is_some_and(|at| self.now - at >= STOOD) {
+                Timer::after(READ).await;
+                self.now = self.clock.now();
+            }
             match woken {
                 Woken::Request(arrival) => self.take_request(arrival),
                 Woken::Event(item) => self.take_event(item),
