Count only reports sent after the last change and after the end of each outdated one

Cause: `ended` took any report of the content that holds for the news. After a change there and back the first report's answer set the next a period ahead (800 ms); after an outdated report that ended without an open line, the answer of a newer one, sent before that end, did so too and dropped the dial.

Change: a report on its way counts until what holds changes or one of another content ends. One that doesn't count puts nothing off, has another connection dialled beside it, and drops no dial unless its own line stays open.

Tests: the property's allowance of a period is gone, with short gaps between changes, and each end of an outdated report has what holds sent anew. The model changes there and back, breaks and closes connections with reports; its rule "a drain is told" became the stricter "what holds is told as soon as there is a line". A property bounds reports a second. A process test holds an answer across a stall there and back.

--- a/crates/heathspur-front/src/announce.rs
+++ b/crates/heathspur-front/src/announce.rs
@@ -2,9 +2,10 @@
 //!
 //! An entry lapses 3 s after the last report that counted, so no single fault may hold reports up for so
 //! long: a report that stays unanswered, and a dial that stands, are not broken off at once, but a second
-//! connection is tried beside them. Reports on two connections may be taken in either order; so when one of
-//! another content has ended, what holds now is told again. One that was given up unanswered can be taken
-//! yet: the next report, a period later at most, puts that right.
+//! connection is tried beside them. Reports on two connections may be taken in either order. So a report
+//! counts only where it was sent after the last change, and after the end of each report of another content:
+//! until one that counts is on its way, the next is due at once, whatever becomes of the others. One that was
+//! given up unanswered can be taken yet: the next report, a period later at most, puts that right.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -94,8 +95,16 @@
 enum Step {
     Dial,
     Idle,
-    /// A report of this content is on its way.
-    Told(bool),
+    Told(Told),
+}
+
+/// A report on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Told {
+    said: bool,
+    /// It says what holds, and nothing that the service takes in after it can say otherwise, but for reports of
+    /// another content that are still on their way.
+    counts: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -152,7 +161,7 @@
         match event {
             Event::Ready(ready) => {
                 if self.ready.replace(ready) != Some(ready) {
-                    self.due = now;
+                    self.tell_anew(now);
                 }
             }
             Event::Moved => {
@@ -168,8 +177,8 @@
                 }
             }
             Event::Lost { line, late } => match self.remove(line, |step| step != Step::Idle) {
-                Some(Entry { step: Step::Told(said), kept, .. }) => {
-                    self.ended(now, line, said, kept, Outcome::Lost { late, why: Failure::Lost });
+                Some(Entry { step: Step::Told(told), kept, .. }) => {
+                    self.ended(now, line, told, kept, Outcome::Lost { late, why: Failure::Lost });
                 }
                 Some(_) => self.failed(now, Failure::Lost),
                 None => {}
@@ -177,7 +186,8 @@
             Event::Sent(line) => {
                 let Some(ready) = self.ready else { return };
                 if let Some(entry) = self.remove(line, |step| step == Step::Idle) {
-                    self.push(line, Step::Told(ready), now, Some(now + ANSWER), entry.kept);
+                    let told = Step::Told(Told { said: ready, counts: true });
+                    self.push(line, told, now, Some(now + ANSWER), entry.kept);
                     self.due = now + PATIENCE;
                 }
             }
@@ -188,9 +198,9 @@
                 }
             }
             Event::Answered { line, status, open } => {
-                let told = self.remove(line, |step| matches!(step, Step::Told(_)));
-                if let Some(Entry { step: Step::Told(said), kept, .. }) = told {
-                    self.ended(now, line, said, kept, Outcome::Answered { status, open });
+                let entry = self.remove(line, |step| matches!(step, Step::Told(_)));
+                if let Some(Entry { step: Step::Told(told), kept, .. }) = entry {
+                    self.ended(now, line, told, kept, Outcome::Answered { status, open });
                 }
             }
         }
@@ -212,7 +222,7 @@
                 return Some(Action::Report { line: entry.line, ready });
             }
         }
-        if self.dial_from(ready).is_some_and(|at| at <= now) {
+        if self.dial_from().is_some_and(|at| at <= now) {
             let beside = self.lines.iter().any(|entry| entry.step == Step::Dial);
             let line = Line(self.next);
             self.next += 1;
@@ -224,21 +234,21 @@
 
     /// When there is something to do again without an event. It may lie in the past.
     pub fn wake(&self) -> Option<Duration> {
-        let ready = self.ready?;
+        self.ready?;
         let due = self.lines.iter().any(|entry| entry.step == Step::Idle).then_some(self.due);
         let limits = self.lines.iter().filter_map(|entry| entry.until);
-        limits.chain(due).chain(self.dial_from(ready)).min()
+        limits.chain(due).chain(self.dial_from()).min()
     }
 
     /// When the next dial is due, if one is: so early that the connection is up when the report is due, and
-    /// beside another one when that has stood for too long or tells what holds no more.
-    fn dial_from(&self, ready: bool) -> Option<Duration> {
+    /// beside another one when that has stood for too long or its report doesn't count.
+    fn dial_from(&self) -> Option<Duration> {
         if self.lines.len() >= MOST || self.lines.iter().any(|entry| entry.step == Step::Idle) {
             return None;
         }
         let from = self.dial_at.max(self.due.saturating_sub(self.took));
         Some(match self.lines.first() {
-            Some(Entry { step: Step::Told(said), .. }) if *said != ready => from,
+            Some(Entry { step: Step::Told(Told { counts: false, .. }), .. }) => from,
             Some(entry) => from.max(entry.since + PATIENCE),
             None => from,
         })
@@ -247,38 +257,55 @@
     /// A step has taken too long.
     fn give_up(&mut self, now: Duration, line: Line) {
         match self.remove(line, |_| true) {
-            Some(Entry { step: Step::Told(said), kept, .. }) => {
+            Some(Entry { step: Step::Told(told), kept, .. }) => {
                 let outcome = Outcome::Lost { late: true, why: Failure::Late };
-                self.ended(now, line, said, kept, outcome);
+                self.ended(now, line, told, kept, outcome);
             }
             _ => self.failed(now, Failure::Late),
         }
     }
 
-    /// A report of this content has ended; its line is taken out already.
-    fn ended(&mut self, now: Duration, line: Line, said: bool, kept: bool, outcome: Outcome) {
-        match outcome {
+    /// A report has ended; its line is taken out already.
+    fn ended(&mut self, now: Duration, line: Line, told: Told, kept: bool, outcome: Outcome) {
+        let due = match outcome {
             Outcome::Answered { status, open } => {
-                // One connection is enough from here on; what is under way on another may end there.
-                self.close(|step| matches!(step, Step::Told(_)));
+                // One connection is enough from here on, but for what is to be told at once and has no line else;
+                // what is under way on another may end there.
+                if open || told.counts {
+                    self.close(|step| matches!(step, Step::Told(_)));
+                }
                 if open {
                     self.push(line, Step::Idle, now, None, true);
                 }
-                self.due = now + if status == 204 { PERIOD } else { AGAIN };
                 if status != 204 {
                     self.failed(now, Failure::Status(status));
                 }
+                now + if status == 204 { PERIOD } else { AGAIN }
             }
             // Closed by the other side meanwhile: a new connection tells at once.
-            Outcome::Lost { late: false, .. } if kept => self.due = now,
+            Outcome::Lost { late: false, .. } if kept => now,
             Outcome::Lost { why, .. } => {
-                self.due = now + AGAIN;
                 self.failed(now, why);
+                now + AGAIN
             }
+        };
+        // The end of one that doesn't count puts nothing off: the next is due at once, or one that counts set its time.
+        if told.counts {
+            self.due = due;
         }
-        // The last word was what holds no more.
-        if self.ready != Some(said) {
-            self.due = now;
+        // The service may have taken this one last.
+        if self.ready != Some(told.said) {
+            self.tell_anew(now);
+        }
+    }
+
+    /// No report that was sent up to now tells what holds.
+    fn tell_anew(&mut self, now: Duration) {
+        self.due = now;
+        for entry in &mut self.lines {
+            if let Step::Told(told) = &mut entry.step {
+                told.counts = false;
+            }
         }
     }
 
--- a/crates/heathspur-front/tests/unit/announce.rs
+++ b/crates/heathspur-front/tests/unit/announce.rs
@@ -24,7 +24,7 @@
 
 /// What becomes of a report.
 #[derive(Clone, Copy, Debug)]
-struct Told {
+struct Fate {
     /// The line turns out to be spent before it.
     spent: bool,
     /// Where the line carried a report before, its connection breaks under this one after so long.
@@ -49,7 +49,7 @@
 struct Plan {
     /// In order, and then from the first again.
     dials: Vec<Dialled>,
-    reports: Vec<Told>,
+    reports: Vec<Fate>,
     /// With the time since the last one.
     changes: Vec<(u64, Change)>,
 }
@@ -90,10 +90,12 @@
     told: usize,
     sent: Vec<(u64, bool)>,
     taken: Vec<(u64, bool)>,
-    /// Changes of what is reported, and the contents of the reports that were on their way then.
-    changed: Vec<(u64, bool, Vec<bool>)>,
+    /// Changes of what is reported, and how many reports were on their way then.
+    changed: Vec<(u64, bool, usize)>,
     /// The reports on their way.
     under_way: Vec<(Line, bool)>,
+    /// When reports ended that said what held no more, with what held and how many reports were sent until then.
+    outdated: Vec<(u64, bool, usize)>,
 }
 
 impl World {
@@ -118,6 +120,7 @@
             taken: Vec::new(),
             changed: Vec::new(),
             under_way: Vec::new(),
+            outdated: Vec::new(),
         };
         world.handle(Event::Ready(true));
         world.act();
@@ -165,7 +168,7 @@
                 self.handle(Event::Spent(line));
             }
             Happens::Answer { line, status, open, said } => {
-                self.under_way.retain(|(other, _)| *other != line);
+                self.report_ended(line);
                 if !open {
                     self.gone(line);
                 }
@@ -186,8 +189,7 @@
             Happens::Change(i) => match self.plan.changes[i].1 {
                 Change::Ready(ready) => {
                     if ready != self.ready {
-                        let under_way = self.under_way.iter().map(|(_, said)| *said).collect();
-                        self.changed.push((self.now, ready, under_way));
+                        self.changed.push((self.now, ready, self.under_way.len()));
                     }
                     self.ready = ready;
                     self.handle(Event::Ready(ready));
@@ -201,9 +203,16 @@
         }
     }
 
+    fn report_ended(&mut self, line: Line) {
+        if self.under_way.iter().any(|(other, said)| *other == line && *said != self.ready) {
+            self.outdated.push((self.now, self.ready, self.sent.len()));
+        }
+        self.under_way.retain(|(other, _)| *other != line);
+    }
+
     fn gone(&mut self, line: Line) {
+        self.report_ended(line);
         self.open.retain(|other| *other != line);
-        self.under_way.retain(|(other, _)| *other != line);
         self.ahead.retain(|(_, happens)| happens.line() != Some(line));
     }
 
@@ -285,12 +294,12 @@
     prop_oneof![5 => Just(None), 1 => (0..50u64).prop_map(Some)]
 }
 
-fn any_report() -> impl Strategy<Value = Told> {
+fn any_report() -> impl Strategy<Value = Fate> {
     let status = prop_oneof![6 => Just(Some(204)), 1 => Just(Some(500)), 1 => Just(None)];
     let ends =
         prop_oneof![3 => (0..400u64).prop_map(Some), 2 => (0..2500u64).prop_map(Some), 1 => Just(None)];
     let rest = (prop::option::of(0..2500u64), ends, status, 0..8u8, 0..1500u64);
-    (0..10u8, breaks(), rest).prop_map(|(spent, breaks, (taken, ends, status, open, idle))| Told {
+    (0..10u8, breaks(), rest).prop_map(|(spent, breaks, (taken, ends, status, open, idle))| Fate {
         spent: spent == 0,
         breaks,
         taken,
@@ -302,8 +311,8 @@
 }
 
 /// A report that is taken and answered within the limit; the connection may end at any time behind it.
-fn well_told(limit: u64) -> impl Strategy<Value = Told> {
-    (breaks(), 0..=limit, 0..=limit, 0..6u8, 0..4000u64).prop_map(|(breaks, one, other, open, idle)| Told {
+fn well_told(limit: u64) -> impl Strategy<Value = Fate> {
+    (breaks(), 0..=limit, 0..=limit, 0..6u8, 0..4000u64).prop_map(|(breaks, one, other, open, idle)| Fate {
         spent: false,
         breaks,
         taken: Some(one.min(other)),
@@ -319,12 +328,14 @@
         0 if moves => Change::Moved,
         _ => Change::Ready(ready),
     });
-    prop::collection::vec((0..3000u64, change), 0..10)
+    // Also there and back while one dial or report is under way.
+    let gap = prop_oneof![0..3000u64, 0..WELL];
+    prop::collection::vec((gap, change), 0..10)
 }
 
 fn plan(
     dial: impl Strategy<Value = Dialled>,
-    report: impl Strategy<Value = Told>,
+    report: impl Strategy<Value = Fate>,
     changes: impl Strategy<Value = Vec<(u64, Change)>>,
 ) -> impl Strategy<Value = Plan> {
     let (dials, reports) = (prop::collection::vec(dial, 1..12), prop::collection::vec(report, 1..24));
@@ -352,6 +363,20 @@
         World::played(&plan);
     }
 
+    /// Each line may carry one report at once after another; from there on a failure's pause holds. A change has what
+    /// holds told at once, and so has the end of each older report.
+    #[test]
+    fn whatever_comes_reports_and_dials_are_no_flood(plan in plan(any_dial(), any_report(), changes(true))) {
+        let world = World::played(&plan);
+        for (i, (from, _)) in world.sent.iter().enumerate() {
+            let within = world.sent[i..].iter().filter(|(at, _)| *at < from + 1000).count();
+            let changes = world.changed.iter().filter(|(at, ..)| at + ms(ANSWER) >= *from && *at < from + 1000);
+            let moves = world.plan.changes.iter().filter(|(_, change)| matches!(change, Change::Moved)).count();
+            let most = 2 * (1000 / ms(AGAIN)) as usize + (1 + MOST) * changes.count() + moves;
+            prop_assert!(within <= most, "{within} reports from {from} on, not {most}");
+        }
+    }
+
     #[test]
     fn a_service_that_is_well_is_reported_to_each_period(plan in well(ms(PATIENCE))) {
         let (sent, taken) = World::played(&plan).gaps();
@@ -377,7 +402,7 @@
         if dial {
             plan.dials[which] = Dialled::Stands;
         } else {
-            plan.reports[which] = Told { breaks: None, taken: None, ends: None, ..plan.reports[which] };
+            plan.reports[which] = Fate { breaks: None, taken: None, ends: None, ..plan.reports[which] };
         }
         let world = World::played(&plan);
         let (sent, taken) = world.gaps();
@@ -395,20 +420,25 @@
             let next = world.changed.get(i + 1).map_or(END, |(at, ..)| *at);
             // With a place for a line it needs a dial, at most one more where an answer ends that one; else one of the
             // reports that are on their way has to end.
-            let place = if under_way.len() < MOST { 0 } else { ms(ANSWER) };
-            // An older report of the same content that is answered now passes for the news: a period is lost.
-            let again = if under_way.contains(&ready) { ms(PERIOD) } else { 0 };
-            let promptly = at + place + again + ms(AGAIN) + 2 * WELL + 1;
+            let place = if *under_way < MOST { 0 } else { ms(ANSWER) };
+            let promptly = at + place + ms(AGAIN) + 2 * WELL + 1;
             let told = world.sent.iter().find(|(sent, said)| *sent >= at && *said == ready).map(|(sent, _)| *sent);
             prop_assert!(next <= promptly || told.is_some_and(|told| told <= promptly), "{at} {told:?}");
             // What is said after it is the same.
             prop_assert!(world.sent.iter().all(|(sent, said)| *sent <= at || *sent >= next || *said == ready));
             // Reports that were on their way may be taken until the limit, and what follows them needs as long.
-            let settled = at + 2 * ms(ANSWER) + ms(PERIOD) + 2 * WELL;
+            let settled = at + 2 * ms(ANSWER) + ms(AGAIN) + 2 * WELL + 1;
             let late = world.taken.iter().find(|(taken, said)| (settled..next).contains(taken) && *said != ready);
             prop_assert!(late.is_none(), "{at} {late:?}");
             let last = world.taken.iter().rfind(|(taken, _)| *taken < next);
             prop_assert!(next < settled || last.is_some_and(|(_, said)| *said == ready), "{at} {last:?}");
         }
+        // The last word may have been a report that was outdated: once it has ended, what holds is sent anew.
+        for (at, ready, sent) in &world.outdated {
+            let next = world.changed.iter().map(|(next, ..)| *next).find(|next| next > at).unwrap_or(END);
+            let promptly = at + ms(AGAIN) + 2 * WELL + 1;
+            let again = world.sent[*sent..].first();
+            prop_assert!(next <= promptly || again.is_some_and(|again| again.0 <= promptly && again.1 == *ready));
+        }
     }
 }
--- a/crates/heathspur-front/tests/unit/announce_model.rs
+++ b/crates/heathspur-front/tests/unit/announce_model.rs
@@ -1,6 +1,6 @@
 //! A model of `src/announce.rs`, which names this file as its module: a service that takes and answers reports of two
-//! connections in any order, dials that come up, fail or stand, connections that end while they are idle, and one
-//! notice to drain, between steps of the clock of 100 ms.
+//! connections in any order, dials that come up, fail or stand, connections that end while they are idle or with a
+//! report, and changes of what is to be reported there and back, between steps of the clock of 100 ms.
 //!
 //! The mutants take out one part each; every one has to be found.
 
@@ -8,9 +8,7 @@
 use stateright::{Checker, HasDiscoveries, Model, Property};
 
 const STEP: Duration = Duration::from_millis(100);
-/// Steps of the clock: past a period, and past the patience with what was begun then.
-const STEPS: u32 = 12;
-/// Dials and idle connections that fail.
+/// Connections that fail, and dials.
 const FAULTS: u8 = 1;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -28,8 +26,9 @@
     lines: Vec<(Line, At)>,
     /// What the service holds.
     entry: Option<bool>,
-    /// The drain was told of.
-    told: bool,
+    changes: u8,
+    /// What holds was not sent since it does, or not since a report that said otherwise has ended.
+    owed: bool,
     /// The older report was taken after the later one.
     crossed: bool,
     faults: u8,
@@ -38,11 +37,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Move {
     Step,
-    Drain,
+    Change,
     Up(Line),
     Fails(Line),
     Taken(Line),
     Answered(Line),
+    /// Answered, and the connection closed.
+    Closed(Line),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,7 +51,7 @@
     None,
     /// What holds is not told again after an older report.
     NotAgain,
-    /// A drain is told with the next report that is due.
+    /// A change is told with the next report that is due.
     NotAtOnce,
     /// What is to be closed stays.
     NotClosed,
@@ -58,6 +59,24 @@
 
 struct Reports {
     mutant: Mutant,
+    /// Steps of the clock.
+    steps: u32,
+    /// Changes of what is to be reported.
+    changes: u8,
+    /// Connections also end with a report, or behind its answer.
+    ends: bool,
+}
+
+impl Reports {
+    /// One change, in a time past a period, and past the patience with what was begun then.
+    fn long(mutant: Mutant) -> Reports {
+        Reports { mutant, steps: 12, changes: 1, ends: false }
+    }
+
+    /// There and back, in a time past the patience.
+    fn back(mutant: Mutant) -> Reports {
+        Reports { mutant, steps: 3, changes: 2, ends: true }
+    }
 }
 
 impl World {
@@ -73,11 +92,11 @@
                 Action::Dial(line) => self.lines.push((line, At::Dial)),
                 Action::Report { line, ready } => {
                     self.set(line, At::Told { said: ready, taken: false });
-                    self.told |= !ready;
+                    self.owed &= ready != self.ready;
                     self.schedule.handle(now, Event::Sent(line));
                 }
                 Action::Close(_) if mutant == Mutant::NotClosed => {}
-                Action::Close(line) => self.lines.retain(|(other, _)| *other != line),
+                Action::Close(line) => self.ends(line),
                 Action::Failed(_) => {}
             }
         }
@@ -92,6 +111,12 @@
         self.lines.iter().find(|(other, _)| *other == line).map(|(_, at)| at)
     }
 
+    /// A report ends, and its line.
+    fn ends(&mut self, line: Line) {
+        self.owed |= matches!(self.at(line), Some(At::Told { said, .. }) if *said != self.ready);
+        self.lines.retain(|(other, _)| *other != line);
+    }
+
     fn is_told(&self) -> bool {
         self.lines.iter().any(|(_, at)| matches!(at, At::Told { .. }))
     }
@@ -108,7 +133,8 @@
             ready: true,
             lines: Vec::new(),
             entry: None,
-            told: false,
+            changes: 0,
+            owed: true,
             crossed: false,
             faults: 0,
         };
@@ -117,11 +143,11 @@
     }
 
     fn actions(&self, world: &World, moves: &mut Vec<Move>) {
-        if world.steps < STEPS {
+        if world.steps < self.steps {
             moves.push(Move::Step);
         }
-        if world.ready {
-            moves.push(Move::Drain);
+        if world.changes < self.changes {
+            moves.push(Move::Change);
         }
         for (line, at) in &world.lines {
             match at {
@@ -130,7 +156,10 @@
                 At::Told { taken: true, .. } => moves.push(Move::Answered(*line)),
                 At::Idle => {}
             }
-            if world.faults < FAULTS && !matches!(at, At::Told { .. }) {
+            if self.ends && matches!(at, At::Told { taken: true, .. }) {
+                moves.push(Move::Closed(*line));
+            }
+            if world.faults < FAULTS && (self.ends || !matches!(at, At::Told { .. })) {
                 moves.push(Move::Fails(*line));
             }
         }
@@ -145,12 +174,14 @@
                 let ready = world.schedule.ready?;
                 world.handle(Event::Ready(ready), mutant);
             }
-            Move::Drain => {
-                world.ready = false;
+            Move::Change => {
+                world.ready = !world.ready;
+                world.changes += 1;
+                world.owed = true;
                 if mutant == Mutant::NotAtOnce {
-                    world.schedule.ready = Some(false);
+                    world.schedule.ready = Some(world.ready);
                 }
-                world.handle(Event::Ready(false), mutant);
+                world.handle(Event::Ready(world.ready), mutant);
             }
             Move::Up(line) => {
                 world.set(line, At::Idle);
@@ -158,21 +189,22 @@
             }
             Move::Fails(line) => {
                 world.faults += 1;
-                let dial = world.at(line) == Some(&At::Dial);
-                world.lines.retain(|(other, _)| *other != line);
-                let event = if dial { Event::Lost { line, late: false } } else { Event::Spent(line) };
+                let idle = world.at(line) == Some(&At::Idle);
+                world.ends(line);
+                let event = if idle { Event::Spent(line) } else { Event::Lost { line, late: false } };
                 world.handle(event, mutant);
             }
             Move::Taken(line) => {
                 let Some(At::Told { said, .. }) = world.at(line).cloned() else { return None };
-                world.crossed |= world.entry == Some(false) && said;
+                world.crossed |= world.entry == Some(world.ready) && said != world.ready;
                 world.entry = Some(said);
                 let at = world.lines.iter_mut().find(|(other, _)| *other == line)?;
                 at.1 = At::Told { said, taken: true };
             }
             Move::Answered(line) => {
                 let Some(At::Told { said, .. }) = world.at(line).cloned() else { return None };
-                world.set(line, At::Idle);
+                world.ends(line);
+                world.lines.push((line, At::Idle));
                 if mutant == Mutant::NotAgain && said != world.ready {
                     world.schedule.ready = Some(said);
                     world.schedule.handle(world.now(), Event::Answered { line, status: 204, open: true });
@@ -182,6 +214,10 @@
                     world.handle(Event::Answered { line, status: 204, open: true }, mutant);
                 }
             }
+            Move::Closed(line) => {
+                world.ends(line);
+                world.handle(Event::Answered { line, status: 204, open: false }, mutant);
+            }
         }
         Some(world)
     }
@@ -190,15 +226,22 @@
         vec![
             Property::always("rule: two lines at most", |_, w: &World| w.lines.len() <= MOST),
             Property::always("rule: what is wrong in the list is being put right", |_, w: &World| {
-                // A report is on its way, or one is due as soon as there is a line.
-                w.entry.is_none_or(|entry| entry == w.ready) || w.is_told() || w.schedule.due <= w.now()
+                // A report is on its way, or one is due as soon as there is a line: after a failure's pause, if any.
+                let pause = AGAIN * u32::from(w.faults);
+                w.entry.is_none_or(|entry| entry == w.ready)
+                    || w.is_told()
+                    || w.schedule.due <= w.now() + pause
             }),
-            Property::always("rule: a drain is told as soon as there is a line", |_, w: &World| {
+            Property::always("rule: what holds is told as soon as there is a line", |_, w: &World| {
                 let idle = w.lines.iter().any(|(_, at)| *at == At::Idle);
-                w.ready || w.told || !idle && w.schedule.due <= w.now()
+                !w.owed || !idle && w.schedule.due <= w.now()
+            }),
+            Property::always("rule: a line is had for it, or dialled after the pause", |_, w: &World| {
+                let under_way = w.lines.iter().any(|(_, at)| *at == At::Dial) || w.lines.len() == MOST;
+                !w.owed || under_way || w.schedule.wake().is_some_and(|at| at <= w.now() + AGAIN)
             }),
             Property::sometimes("an older report is taken last", |_, w: &World| w.crossed),
-            Property::sometimes("and is put right", |_, w: &World| w.crossed && w.entry == Some(false)),
+            Property::sometimes("and is put right", |_, w: &World| w.crossed && w.entry == Some(w.ready)),
             Property::sometimes("a second dial", |_, w: &World| {
                 w.lines.iter().filter(|(_, at)| *at == At::Dial).count() == MOST
             }),
@@ -206,18 +249,27 @@
     }
 }
 
-#[test]
-fn a_drain_is_the_last_word_in_every_order_of_events() {
-    let checker = Reports { mutant: Mutant::None }.checker().threads(2).spawn_bfs().join();
+fn check(reports: Reports) {
+    let checker = reports.checker().threads(2).spawn_bfs().join();
     checker.assert_properties();
     assert!(checker.is_done());
     println!("{} states", checker.unique_state_count());
 }
 
+#[test]
+fn a_change_is_the_last_word_in_every_order_of_events() {
+    check(Reports::long(Mutant::None));
+}
+
+#[test]
+fn a_change_there_and_back_is_told_in_every_order_of_events() {
+    check(Reports::back(Mutant::None));
+}
+
 #[test]
 fn each_mutant_is_found() {
     for mutant in [Mutant::NotAgain, Mutant::NotAtOnce, Mutant::NotClosed] {
-        let checker = Reports { mutant }.checker().threads(2).finish_when(HasDiscoveries::AnyFailures);
+        let checker = Reports::long(mutant).checker().threads(2).finish_when(HasDiscoveries::AnyFailures);
         let found = checker.spawn_bfs().join().discoveries();
         let rules: Vec<_> = found.keys().filter(|name| name.starts_with("rule")).collect();
         println!("{mutant:?}: {rules:?}");
--- a/crates/heathspurd/tests/peers.rs
+++ b/crates/heathspurd/tests/peers.rs
@@ -11,6 +11,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Time between reports.
+const PERIOD: Duration = Duration::from_millis(800);
+
 /// The announce service's end of a connection.
 struct Announce(BufReader<TcpStream>);
 
@@ -132,6 +135,39 @@
     });
 }
 
+#[test]
+fn a_change_there_and_back_is_told_once_an_older_report_has_ended() {
+    in_one_of_five(|| {
+        let service = local();
+        let rig = Rig::with(|c| {
+            c["announce"] = at(&service);
+            // So few that one request counts as stalled when it doesn't end.
+            c["settings"]["family-info"]["n-cores"] = json!(2);
+        });
+        let mut vm = rig.link();
+        let mut slow = Announce::accept(&service).0;
+        let mut client = rig.client();
+        client.send(&request(1, None, b"abc"));
+        let (task, _, _) = vm.apply();
+        slow.taken()?;
+        (slow.next()? == "true").then_some(())?;
+        // It is held while the server is not ready, and is again.
+        rig.logs("work has stalled");
+        vm.value(&task, "complete", b"one");
+        rig.logs("work moves again");
+        // However the request fared.
+        client.answer();
+        // The reports hear of the change in a turn of their own: before this answer at the latest.
+        client.send(b"GET /status/live HTTP/1.1\r\nHost: x\r\n\r\n");
+        assert_eq!(client.answer().0, 200);
+        slow.is_open()?;
+        let answered = Instant::now();
+        slow.taken()?;
+        // It was sent before the changes: what holds is told at once, not with the next period.
+        (slow.next()? == "true" && answered.elapsed() < PERIOD / 2).then_some(())
+    });
+}
+
 #[test]
 fn a_report_that_was_not_taken_is_made_again_on_its_connection() {
     in_one_of_five(|| {
