--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -71,7 +71,7 @@
 /// Seconds of paced calls that may come at once, and the part of them kept for calls that must be made.
 const PACE_BURST: f64 = 1.0;
 const PACE_KEPT: f64 = 0.5;
-/// Part of the time between two calls that are rarer than the window, in which one that is saved up may begin.
+/// Part of the time between two calls that are rarer than the window, in which one saved up may begin.
 const PACE_SLOT: f64 = 0.25;
 /// The first call is of unknown length: lingers that it may take, itself and abandoned, and as much again.
 const FIRST_LINGERS: f64 = 4.0;
@@ -654,10 +654,10 @@
         self.pace = -self.chance() * (first / (PART_USED * part)).min(over) * self.call_cap;
     }
 
-    /// The seconds of a usual call where we are paced to fewer than one in the time of the mean. Of such calls one
-    /// that is saved up begins in its slot only: a slot comes round as often as the pace pays for a call, at a moment
-    /// that is each server's own. Else all that are idle would begin one at once when requests reach them at once.
-    /// Hurts where requests are rare: the first one waits for the slot, though nobody else calls.
+    /// The seconds of a usual call where we are paced to fewer than one in the time of the mean. Of such calls
+    /// one that is saved up begins in its slot only: a slot comes round as often as the pace pays for a call, at
+    /// a moment that is each server's own. Else all that are idle would begin one when requests reach them at
+    /// once. Hurts where requests are rare: the first one waits for the slot, though nobody else calls.
     fn rare_call(&self) -> Option<f64> {
         let Dependency::Shared { over, linger, .. } = self.set.dependency else { return None };
         let call = self.call_time.or(linger.secs());
@@ -717,8 +717,8 @@
         let took = (self.now - since).secs();
         let rest = match outcome {
             Outcome::Timeout | Outcome::Cancelled => linger,
-            // One that was turned away is paid for as a usual one: else all save up while the dependency is full,
-            // are back at it in step, and begin more than their parts. Hurts where it is full for single calls.
+            // One turned away is paid for as a usual one: else all save up while the dependency is full, are
+            // back at it in step, and begin more than their parts. Hurts where it is full for single calls.
             Outcome::Full => (self.call_time.or(linger) - took).max(0.0),
             _ => 0.0,
         };
