--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -654,8 +654,8 @@
         self.pace = -self.chance() * (first / (PART_USED * part)).min(over) * self.call_cap;
     }
 
-    /// The seconds of a usual call where we are paced to fewer than one in the time of the mean. Of such calls
-    /// one that is saved up begins in its slot only: a slot comes round as often as the pace pays for a call, at
+    /// The seconds of a usual call where we are paced to fewer than one in the time of the mean. Of such
+    /// calls one saved up begins in its slot only: a slot comes round as often as the pace pays for a call, at
     /// a moment that is each server's own. Else all that are idle would begin one when requests reach them at
     /// once. Hurts where requests are rare: the first one waits for the slot, though nobody else calls.
     fn rare_call(&self) -> Option<f64> {
