--- a/crates/heathspur/src/decide.rs
+++ b/crates/heathspur/src/decide.rs
@@ -655,9 +655,9 @@
     }
 
     /// The seconds of a usual call where we are paced to fewer than one in the time of the mean. Of such
-    /// calls one saved up begins in its slot only: a slot comes round as often as the pace pays for a call, at
-    /// a moment that is each server's own. Else all that are idle would begin one when requests reach them at
-    /// once. Hurts where requests are rare: the first one waits for the slot, though nobody else calls.
+    /// calls one saved up begins in its slot only: a slot comes round as often as the pace pays for a call,
+    /// at a moment that is each server's own. Else all that are idle would begin one when requests reach
+    /// them at once. Hurts where requests are rare: the first waits for the slot, though nobody else calls.
     fn rare_call(&self) -> Option<f64> {
         let Dependency::Shared { over, linger, .. } = self.set.dependency else { return None };
         let call = self.call_time.or(linger.secs());
