--- a/review/standins.py
+++ b/review/standins.py
@@ -104,14 +104,10 @@
         self.runs = {}  # the runs that are not over, by the id of the request
         self.history = {}  # all runs, by the id of the request
         self.link = None
-        self.servers = []
-        self.on_apply = None
+        self.door = Door()
 
     async def listen(self):
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(lambda: InterpreterLink(self), "127.0.0.1", 0)
-        self.servers.append(server)
-        return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        return await self.door.open(lambda: InterpreterLink(self))
 
     def new_link(self, link):
         if self.link is not None and self.link is not link:
@@ -195,8 +191,6 @@
         earlier.append(run)
         self.runs[task] = run
         self.record.line(f"APPLY   {task} key {request.key}: run {len(earlier)} of this try starts")
-        if self.on_apply:
-            self.on_apply(run)
         self.stretch(run)
 
     def stretch(self, run):
@@ -257,6 +251,38 @@
         self.record.line(f"VALUE   {run.request.txn} notice {index}: {outcome} after {spent} ms")
 
 
+class Door:
+    """The address at which a stand-in listens. It can be moved: the old address takes no new connections, and the
+    connections to it are closed after 1.5 s."""
+
+    def __init__(self):
+        self.server = None
+        self.transports = []
+
+    async def open(self, protocol):
+        transports = []
+
+        def connected():
+            made = protocol()
+            inner = made.connection_made
+
+            def connection_made(transport):
+                transports.append(transport)
+                inner(transport)
+
+            made.connection_made = connection_made
+            return made
+
+        old_server, old_transports = self.server, self.transports
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(connected, "127.0.0.1", 0)
+        self.transports = transports
+        if old_server is not None:
+            old_server.close()
+            loop.call_later(1.5, lambda: [transport.close() for transport in old_transports])
+        return "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+
+
 class InterpreterLink(asyncio.Protocol):
     """One link from the server to the interpreter."""
 
@@ -332,26 +358,37 @@
     def __init__(self, record):
         self.record = record
         self.last = None
+        self.door = Door()
 
     async def listen(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        return await self.door.open(lambda: AnnounceConnection(self))
 
-    async def serve(self, reader, writer):
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                length = 0
-                for line in head.split(b"\r\n"):
-                    if line.lower().startswith(b"content-length:"):
-                        length = int(line.split(b":")[1])
-                report = await reader.readexactly(length)
-                if report != self.last:
-                    self.last = report
-                    self.record.line(f"REPORT  {report.decode()}")
-                writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
-        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
-            writer.close()
+
+class AnnounceConnection(asyncio.Protocol):
+    """One connection from the server to the announce service."""
+
+    def __init__(self, announce):
+        self.announce = announce
+        self.buffer = b""
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.buffer += data
+        while b"\r\n\r\n" in self.buffer:
+            head, rest = self.buffer.split(b"\r\n\r\n", 1)
+            length = 0
+            for line in head.split(b"\r\n"):
+                if line.lower().startswith(b"content-length:"):
+                    length = int(line.split(b":")[1])
+            if len(rest) < length:
+                return
+            report, self.buffer = rest[:length], rest[length:]
+            if report != self.announce.last:
+                self.announce.last = report
+                self.announce.record.line(f"REPORT  {report.decode()}")
+            self.transport.write(b"HTTP/1.1 204 No Content\r\n\r\n")
 
 
 class Balancer:
@@ -393,11 +430,12 @@
             f"X-Txn: {request.txn}",
             f"X-Ingress-Time: {request.ingress}",
             f"X-Router: {self.number}",
-            f"X-Merchant: {self.tenant}",
             "X-Working-Set-Kb: 24.5",
             "X-Shed-Order: 0.6250",
             f"Content-Length: {len(body)}",
         ]
+        if self.tenant is not None:
+            fields.append(f"X-Merchant: {self.tenant}")
         if key is not None:
             fields.append(f"X-Txn-Key: {key}")
         if second_try:
@@ -524,3 +562,123 @@
 def could_not_run(error):
     print(f"the case could not run: {error!r}", file=sys.stderr)
     return 2
+
+
+class Store:
+    """The store: a proxy that hands each call to a server of the next tier, which answers it after some time.
+
+    `trouble` draws what goes wrong with a call that has run: None, "reset" (in place of the reply), "silent", "noise",
+    "huge", "copy" (a second copy of the reply), "ahead" (a reply under an unknown id first), "busy" or "err".
+    """
+
+    def __init__(self, interpreter, work_ms, trouble=lambda: None):
+        self.interpreter = interpreter
+        self.record = interpreter.record
+        self.work_ms = work_ms
+        self.trouble = trouble
+        self.served = {}  # (id, body of the call) -> what became of each call that was accepted
+        self.faults = []
+        self.door = Door()
+
+    async def listen(self):
+        return await self.door.open(lambda: StoreConnection(self))
+
+    effects = frozenset()  # the classes whose calls must not be made twice
+
+    def reply_body(self, call_body):
+        return b"reply to " + call_body
+
+
+class StoreConnection(asyncio.Protocol):
+    """One connection from the server to the store."""
+
+    def __init__(self, store):
+        self.store = store
+        self.buffer = b""
+        self.calls = {}
+        self.useless = False
+
+    def connection_made(self, transport):
+        self.transport = transport
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def connection_lost(self, error):
+        for txn, (timer, body) in self.calls.items():
+            timer.cancel()
+            self.store.record.line(f"CALL    {txn} {body.decode()!r}: given up")
+        self.calls.clear()
+
+    def data_received(self, data):
+        self.buffer += data
+        while b"\r\n" in self.buffer:
+            line, rest = self.buffer.split(b"\r\n", 1)
+            words = line.decode().split(" ")
+            if words[0] == "DROP":
+                self.buffer = rest
+                self.drop(words[1])
+                continue
+            _, txn, timeout_ms, length = words
+            if len(rest) < int(length) + 2:
+                return
+            body, self.buffer = rest[: int(length)], rest[int(length) + 2 :]
+            self.call(txn, int(timeout_ms), body)
+
+    def drop(self, txn):
+        if txn in self.calls:
+            self.calls.pop(txn)[0].cancel()
+
+    def call(self, txn, timeout_ms, body):
+        store = self.store
+        run = store.interpreter.runs.get(txn)
+        if run is None or run.state != "waiting" or run.call_body != body:
+            store.record.line(f"CALL    {txn} {body.decode()!r}: no run waits for it, VOID")
+            self.transport.write(f"{txn} VOID\r\n".encode())
+            return
+        trouble = store.trouble()
+        if trouble == "busy":
+            store.record.line(f"CALL    {txn} {body.decode()!r}: BUSY")
+            self.transport.write(f"{txn} BUSY\r\n".encode())
+            return
+        earlier = store.served.setdefault((txn, body), [])
+        request = run.request
+        if earlier and request.service in store.effects:
+            store.faults.append(f"CALL TWICE: {txn} {body.decode()!r}, earlier {earlier}")
+        earlier.append("accepted")
+        store.record.line(f"CALL    {txn} {body.decode()!r} accepted, {trouble or 'no trouble'}")
+        self.drop(txn)
+        work = store.work_ms()
+        loop = asyncio.get_running_loop()
+        if trouble == "silent":
+            return
+        if work > timeout_ms:
+            timer = loop.call_later(timeout_ms / 1000, self.late, txn)
+        else:
+            timer = loop.call_later(work / 1000, self.reply, txn, body, trouble)
+        self.calls[txn] = (timer, body)
+
+    def late(self, txn):
+        self.calls.pop(txn, None)
+        self.transport.write(f"{txn} LATE\r\n".encode())
+
+    def reply(self, txn, body, trouble):
+        self.calls.pop(txn, None)
+        if self.useless or self.transport.is_closing():
+            return
+        reply = self.store.reply_body(body)
+        whole = f"{txn} OK {len(reply)}\r\n".encode() + reply + b"\r\n"
+        if trouble == "reset":
+            self.transport.abort()
+        elif trouble == "err":
+            self.transport.write(f"{txn} ERR\r\n".encode())
+        elif trouble == "noise":
+            self.useless = True
+            self.transport.write(bytes(random.randrange(256) for _ in range(80)) + b"\r\n")
+        elif trouble == "huge":
+            self.useless = True
+            self.transport.write(f"{txn} OK 3000000000\r\n".encode() + b"x" * 20000)
+        elif trouble == "copy":
+            self.transport.write(whole + whole)
+        elif trouble == "ahead":
+            self.transport.write(b"00000000000000aa OK 5\r\nwrong\r\n" + whole)
+        else:
+            self.transport.write(whole)
