Review: the cases end their server also when they are told to end

Cause: a case that was ended by a signal left its server running. Change: SIGTERM ends the case through its clean-up.

--- a/review/1/test.py
+++ b/review/1/test.py
@@ -123,11 +123,4 @@
 
 
 if __name__ == "__main__":
-    record = s.Record(os.path.join(HERE, "record.txt"))
-    try:
-        code = asyncio.run(main(record))
-    except Exception as error:  # noqa: BLE001
-        code = s.could_not_run(error)
-    record.line(f"exit {code}")
-    record.close()
-    sys.exit(code)
+    s.run_case(main, HERE)
