--- a/review/standins.py
+++ b/review/standins.py
@@ -57,6 +57,7 @@
         self.status = None
         self.answer = None
         self.gone = False
+        self.lost = False
 
     @property
     def over(self):
@@ -408,6 +409,9 @@
             if not reader.at_eof():
                 return reader, writer
             writer.close()
+        return await self.open_connection()
+
+    async def open_connection(self):
         host, port = self.address.rsplit(":", 1)
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -442,20 +446,35 @@
             fields.append("X-Second-Try: 1")
         self.platform.add(request)
         record.line(f"SEND    {request.txn} {service} key {key}")
-        writer.write(("\r\n".join(fields) + "\r\n\r\n").encode() + body)
-        request.written = now()
+        message = ("\r\n".join(fields) + "\r\n\r\n").encode() + body
         keep = False
-        try:
-            status, answer, keep = await asyncio.wait_for(read_answer(reader), patience_s)
-            request.status, request.answer = status, answer
-            record.line(f"ANSWER  {request.txn} {status} after {(now() - request.written) * 1000:.1f} ms")
-        except asyncio.TimeoutError:
-            request.gone = True
-            record.line(f"GIVE UP {request.txn} after {patience_s} s")
-        except (asyncio.IncompleteReadError, ConnectionError, ValueError) as error:
-            request.lost = True
-            request.gone = True
-            record.line(f"LOST    {request.txn}: {error!r}")
+        for again in (False, True):
+            writer.write(message)
+            request.written = now()
+            try:
+                status, answer, keep = await asyncio.wait_for(read_answer(reader), patience_s)
+                request.status, request.answer = status, answer
+                record.line(f"ANSWER  {request.txn} {status} after {(now() - request.written) * 1000:.1f} ms")
+            except asyncio.TimeoutError:
+                request.gone = True
+                record.line(f"GIVE UP {request.txn} after {patience_s} s")
+            except (asyncio.IncompleteReadError, ConnectionError, ValueError) as error:
+                crossed = not again and now() - request.written < 0.05
+                if crossed:
+                    # The request crossed the close of its connection: it is sent again on a new one, once.
+                    writer.close()
+                    try:
+                        reader, writer = await self.open_connection()
+                    except OSError as refused:
+                        request.status = 0
+                        record.line(f"NO CONN {request.txn}: {refused}")
+                        break
+                    record.line(f"AGAIN   {request.txn}: {error!r}")
+                    continue
+                request.lost = True
+                request.gone = True
+                record.line(f"LOST    {request.txn}: {error!r}")
+            break
         self.interpreter.request_over(request)
         if keep:
             self.idle.append((reader, writer))
