--- a/review/standins.py
+++ b/review/standins.py
@@ -58,6 +58,8 @@
         self.answer = None
         self.gone = False
         self.lost = False
+        self.kb = 24.5  # the memory that is booked while it is held
+        self.fields = []  # further header fields
 
     @property
     def over(self):
@@ -434,10 +436,11 @@
             f"X-Txn: {request.txn}",
             f"X-Ingress-Time: {request.ingress}",
             f"X-Router: {self.number}",
-            "X-Working-Set-Kb: 24.5",
+            f"X-Working-Set-Kb: {request.kb}",
             "X-Shed-Order: 0.6250",
             f"Content-Length: {len(body)}",
         ]
+        fields.extend(request.fields)
         if self.tenant is not None:
             fields.append(f"X-Merchant: {self.tenant}")
         if key is not None:
