--- a/review/2/test.py
+++ b/review/2/test.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, os.path.dirname(HERE))
 import standins as s  # noqa: E402
 
+RECORD_FILE = os.path.join(HERE, "record.txt")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SECONDS = float(os.environ.get("SECONDS_OF_LOAD", "90"))
 RELOAD_EVERY_S = float(os.environ.get("RELOAD_EVERY_S", "1.0"))
@@ -133,4 +134,4 @@
 
 
 if __name__ == "__main__":
-    s.run_case(main, HERE)
+    s.run_case(main, RECORD_FILE)
--- a/review/standins.py
+++ b/review/standins.py
@@ -586,9 +586,12 @@
     return await asyncio.wait_for(case, 115)
 
 
-def run_case(main, folder):
-    """Runs a case and ends the process with its verdict: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    record = Record(os.path.join(folder, "record.txt"))
+def run_case(main, record_file):
+    """Runs a case and ends the process with its verdict: 1 if the rule was broken, 0 if it held, 2 if it could not run.
+
+    What was sent, answered and run goes to `record_file`.
+    """
+    record = Record(record_file)
     # Ends the case, and with it the server, when the script is told to end.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
