Do not resend commands that the interpreter is known to have received

What callers saw: nothing; each got one answer, 200.

Cause: after a reconnection, the last command of each running request was sent again once TOPS showed that all missed notices had arrived. `ExecutionState::mark_uncertain` confirmed only RESOLVE by an answered gauge query. A start that was just as certain to have been received became uncertain and was repeated; where the run ended between TOPS and the repeated APPLY, the request ran again.

Ruled out: lost notices (numbers are contiguous), a second attempt (each key was sent once).

Fix: an answered query confirms every command before it, and a confirmed one is not repeated. The interpreter answers in order, so it has the command, and the end of the run comes by its number. If the missed notices are no longer retained, confirmed starts of idempotent runs are resent, as before: their ends may be lost, and nothing else would end them.

Tests: confirmed_start_of_keyed_run_is_not_resent_after_reconnect fails on the old code (APPLY of task 1 where only task 2 may start). The unit test that confirmed "only call replies" stated the fault; its successor asks the same of all four kinds of command.

--- a/crates/heathspurd/src/event_loop/execution.rs
+++ b/crates/heathspurd/src/event_loop/execution.rs
@@ -211,21 +211,16 @@
         }
     }
 
-    /// Records that the connection broke after the gauge query `last_answered` was answered. The reply to a call does
-    /// not identify the call, so a reply that the interpreter has received must not be resent: the run may already wait
-    /// for its next call. Any other command may be sent twice.
+    /// Records that the connection broke after the gauge query `last_answered` was answered. A command that the
+    /// interpreter has received must not be resent: a run that ends before the command arrives would be started again,
+    /// and a run that already waits for its next call would take the reply to the earlier call as the reply to that one.
     pub fn mark_uncertain(&mut self, last_answered: u64) {
-        let ExecutionState::Running {
-            last_command,
-            delivery,
-            ..
-        } = self
-        else {
+        let ExecutionState::Running { delivery, .. } = self else {
             return;
         };
-        *delivery = match (*delivery, last_command) {
-            (CommandDelivery::Confirmed, _) => CommandDelivery::Confirmed,
-            (CommandDelivery::CurrentConnection { before_query }, LastCommand::CompleteCall(_))
+        *delivery = match *delivery {
+            CommandDelivery::Confirmed => CommandDelivery::Confirmed,
+            CommandDelivery::CurrentConnection { before_query }
                 if before_query <= last_answered =>
             {
                 CommandDelivery::Confirmed
@@ -234,7 +229,20 @@
         };
     }
 
-    /// Records that the last command is resent on a new connection, unless the interpreter has confirmed it.
+    /// Records that the notice of a run's end may be lost although the command to start the run was received, so that
+    /// the command is resent. Applies only to a run that may be started again.
+    pub fn mark_start_uncertain(&mut self) {
+        if !self.is_starting() {
+            return;
+        }
+        if let ExecutionState::Running { delivery, .. } = self {
+            if *delivery == CommandDelivery::Confirmed {
+                *delivery = CommandDelivery::Uncertain;
+            }
+        }
+    }
+
+    /// Records that the last command is resent on a new connection, unless the interpreter is known to have received it.
     pub fn mark_resent(&mut self, sent: CommandDelivery) {
         if let ExecutionState::Running { delivery, .. } = self {
             if *delivery != CommandDelivery::Confirmed {
--- a/crates/heathspurd/src/event_loop/interpreter_events.rs
+++ b/crates/heathspurd/src/event_loop/interpreter_events.rs
@@ -1,7 +1,7 @@
 //! Handling of events from the interpreter's link: ended runs, calls that runs need, gauges and the state of the link.
 
 use crate::event_loop::deadlines::timer_without_gauges;
-use crate::event_loop::execution::{CallRequirement, PendingCall};
+use crate::event_loop::execution::{CallRequirement, ExecutionState, PendingCall};
 use crate::event_loop::interpreter_session::Resend;
 use crate::event_loop::EventLoop;
 use crate::frontend::{Answer, AttemptId};
@@ -127,22 +127,24 @@
 
     /// Handles the loss of notices: more were missed than the interpreter retains, so the end of a run may be among
     /// them. A run that may have ended counts as failed: it must not be started again unless that does no harm, and
-    /// must not occupy a slot indefinitely.
+    /// must not occupy a slot indefinitely. The other runs are started again once the link is up.
     fn on_notices_lost(&mut self) {
         warn!(
             "the interpreter no longer retains the notices that this server missed; \
              runs that may have ended count as failed"
         );
         let classes = &self.controller.settings().classes;
-        let lost = self.table.find(|entry| {
+        let may_have_ended = self.table.find(|entry| {
             let is_idempotent = classes[entry.class.0].idempotency == Idempotency::Idempotent;
             entry
                 .execution
                 .may_have_ended_unnoticed(is_idempotent, entry.owes_reply())
         });
-        for id in lost {
+        for id in may_have_ended {
             self.on_run_ended(id, RunOutcome::Failed, Bytes::new());
         }
+        self.table
+            .for_each_execution(ExecutionState::mark_start_uncertain);
     }
 
     /// Handles a command that the interpreter rejected. A rejected gauge query will not be answered, so a resumption
--- a/crates/heathspurd/tests/reconnect.rs
+++ b/crates/heathspurd/tests/reconnect.rs
@@ -48,6 +48,24 @@
     (server, interpreter, client, store)
 }
 
+// Guards against a second run of a keyed request: its start was sent again although the interpreter had received it, and
+// the run ended before the repeated start arrived.
+#[test]
+fn confirmed_start_of_keyed_run_is_not_resent_after_reconnect() {
+    let (server, mut interpreter, mut client) = start_run(Some("k"));
+    // The answer to a later gauge query confirms that the interpreter has read the start.
+    answer_next_gauge_query(&mut interpreter);
+    drop(interpreter);
+    let mut interpreter = server.accept_link();
+    answer_next_gauge_query(&mut interpreter);
+    // The run is still in progress, and ends while a repeated start would be on its way.
+    let mut other_client = server.connect_client();
+    other_client.send(&request(2, None, b"def"));
+    assert_eq!(interpreter.read_apply().0, task_id(2));
+    interpreter.send_value(&task_id(1), "complete", b"done");
+    assert_eq!(client.read_response().2, b"done");
+}
+
 #[test]
 fn confirmed_call_reply_is_not_resent_after_reconnect() {
     let (server, mut interpreter, mut client, _store) = start_run_with_reply();
@@ -246,6 +264,24 @@
     assert_eq!(interpreter.read_apply().0, task_id(5));
 }
 
+// Guards against a run that never ends: its end was among the lost notices, and its confirmed start was not sent again.
+#[test]
+fn confirmed_idempotent_run_whose_final_notice_was_evicted_is_run_again() {
+    let (server, mut interpreter, mut client) = start_run(None);
+    answer_next_gauge_query(&mut interpreter);
+    drop(interpreter);
+    let mut interpreter = server.accept_link();
+    interpreter.last_index = 4_100;
+    interpreter.send_value(&task_id(3), "complete", b"");
+    interpreter = server.accept_link();
+    interpreter.last_index = 4_100;
+    interpreter.send_value(&task_id(3), "complete", b"");
+    answer_next_gauge_query(&mut interpreter);
+    assert_eq!(interpreter.read_apply().0, task_id(1));
+    interpreter.send_value(&task_id(1), "complete", b"one");
+    assert_eq!(client.read_response().2, b"one");
+}
+
 #[test]
 fn interpreter_with_wrong_index_on_each_link_is_accepted_on_fourth_link() {
     let (server, mut interpreter, [mut first, _second]) = start_two_runs();
--- a/crates/heathspurd/tests/unit/execution.rs
+++ b/crates/heathspurd/tests/unit/execution.rs
@@ -106,24 +106,53 @@
     assert_eq!(ignored, [true, false, true, false, false, true]);
 }
 
+// Guards against a second run: a start that the interpreter had received was sent again after a reconnection.
 #[test]
-fn later_query_answer_confirms_only_call_replies() {
-    let mut resumed = awaiting_call();
-    assert!(resumed.resume_run(|_| LastCommand::CompleteCall(Bytes::new()), BEFORE_QUERY_5));
-    // The connections broke after the answer to query 4, and after that to query 5.
-    let (mut unconfirmed, mut confirmed, mut started) = (resumed.clone(), resumed, running());
-    unconfirmed.mark_uncertain(4);
-    confirmed.mark_uncertain(5);
+fn later_query_answer_confirms_every_kind_of_command() {
+    let mut paused = running();
+    assert!(paused.request_stop());
+    paused.preempt(Preemption::Pause);
+    assert!(paused.start_run(Time(40), BEFORE_QUERY_5));
+    let resumed_with = |command: LastCommand| {
+        let mut execution = awaiting_call();
+        assert!(execution.resume_run(|_| command, BEFORE_QUERY_5));
+        execution
+    };
+    for sent in [
+        running(),
+        paused,
+        resumed_with(LastCommand::CompleteCall(Bytes::new())),
+        resumed_with(LastCommand::SkipCall(1)),
+    ] {
+        // The connections broke after the answer to query 4, and after that to query 5.
+        let (mut unconfirmed, mut confirmed) = (sent.clone(), sent);
+        unconfirmed.mark_uncertain(4);
+        confirmed.mark_uncertain(5);
+        assert_eq!(unconfirmed.delivery(), Some(CommandDelivery::Uncertain));
+        assert_eq!(confirmed.delivery(), Some(CommandDelivery::Confirmed));
+        // A confirmed command remains confirmed on all later connections.
+        confirmed.mark_resent(BEFORE_QUERY_5);
+        confirmed.mark_uncertain(0);
+        assert_eq!(confirmed.delivery(), Some(CommandDelivery::Confirmed));
+        unconfirmed.mark_resent(BEFORE_QUERY_5);
+        assert_eq!(unconfirmed.delivery(), Some(BEFORE_QUERY_5));
+    }
+}
+
+#[test]
+fn only_confirmed_start_is_resent_when_notices_are_lost() {
+    let mut started = running();
+    started.mark_start_uncertain();
+    assert_eq!(started.delivery(), Some(BEFORE_QUERY_5));
     started.mark_uncertain(5);
-    assert_eq!(unconfirmed.delivery(), Some(CommandDelivery::Uncertain));
-    assert_eq!(confirmed.delivery(), Some(CommandDelivery::Confirmed));
+    started.mark_start_uncertain();
     assert_eq!(started.delivery(), Some(CommandDelivery::Uncertain));
-    // A confirmed command remains confirmed on all later connections.
-    confirmed.mark_resent(BEFORE_QUERY_5);
-    confirmed.mark_uncertain(0);
-    assert_eq!(confirmed.delivery(), Some(CommandDelivery::Confirmed));
-    unconfirmed.mark_resent(BEFORE_QUERY_5);
-    assert_eq!(unconfirmed.delivery(), Some(BEFORE_QUERY_5));
+
+    let mut replied = awaiting_call();
+    assert!(replied.resume_run(|call| LastCommand::SkipCall(call.index), BEFORE_QUERY_5));
+    replied.mark_uncertain(5);
+    replied.mark_start_uncertain();
+    assert_eq!(replied.delivery(), Some(CommandDelivery::Confirmed));
 }
 
 #[test]
