Do not resend starts and call replies that the interpreter may have received

What callers saw: nothing.

Cause: a command sent after the last answered gauge query may have been received or not. `resend_matching` took it as lost. If it was received and the run ended, or reached its next call, before the second command arrived, the run started again or got a wrong reply.

Change: such a command is repeated only if it may arrive twice. Otherwise the run has 1 s from the break to send a notice. Then an idempotent run makes its call again: the store carries out a call only if the run waits for it, so the new reply belongs to it. Any other run counts as failed and its key does not run again, as already after the loss of notices. Reconnection gets a module of its own.

A proof of delivery on the wire was looked for; BREAK proves nothing while the cores stand still.

--- a/crates/heathspurd/src/event_loop/commands.rs
+++ b/crates/heathspurd/src/event_loop/commands.rs
@@ -3,7 +3,7 @@
 use crate::event_loop::execution::{CommandDelivery, ExecutionState, LastCommand, PendingCall};
 use crate::event_loop::store_calls::CallRequest;
 use crate::event_loop::EventLoop;
-use heathspur::{Idempotency, RequestId, Span};
+use heathspur::{RequestId, Span};
 use heathspur_wire::interpreter::Command;
 
 impl EventLoop {
@@ -40,13 +40,12 @@
         let ExecutionState::AwaitingCall { call, .. } = &entry.execution else {
             return;
         };
-        let class = &self.controller.settings().classes[entry.class.0];
         let request = CallRequest {
             request: id,
             attempt: entry.attempt,
             timeout,
             body: call.body.clone(),
-            new_connection: class.idempotency != Idempotency::Idempotent,
+            new_connection: !self.controller.is_idempotent(entry.class),
         };
         let in_flight = self.calls.start(request, self.now);
         entry.execution.begin_call(in_flight);
@@ -69,7 +68,7 @@
         }
     }
 
-    /// Sends a running request's last command, unless the interpreter has confirmed it, and then a stop if one has been
+    /// Sends a running request's last command if it belongs on the current connection, and then a stop if one has been
     /// requested. While the link is down nothing is sent; the commands follow once it is up again.
     pub(super) fn send_last_command(&self, id: RequestId) {
         let Some(entry) = self.table.get(id).filter(|_| self.interpreter.is_up()) else {
@@ -84,7 +83,7 @@
             return;
         };
         let request_id = entry.attempt.as_str();
-        if *delivery != CommandDelivery::Confirmed {
+        if matches!(delivery, CommandDelivery::CurrentConnection { .. }) {
             self.interpreter.send(match last_command {
                 LastCommand::Run => Command::Run {
                     request_id,
@@ -92,7 +91,10 @@
                     body: &entry.body,
                 },
                 LastCommand::Resume => Command::Resume(request_id),
-                LastCommand::CompleteCall(body) => Command::CompleteCall { request_id, body },
+                LastCommand::CompleteCall { reply, .. } => Command::CompleteCall {
+                    request_id,
+                    body: reply,
+                },
                 LastCommand::SkipCall(index) => Command::SkipCall {
                     request_id,
                     index: *index,
--- a/crates/heathspurd/src/event_loop/controller.rs
+++ b/crates/heathspurd/src/event_loop/controller.rs
@@ -1,6 +1,6 @@
 //! The admission controller, its settings and its pending events.
 
-use heathspur::{Action, AdmissionController, Event, Settings, Time};
+use heathspur::{Action, AdmissionController, ClassId, Event, Idempotency, Settings, Time};
 
 /// The admission controller and its pending events. The controller is created when the interpreter connects or the
 /// first request arrives, whichever is first, because the warm-up of the machine begins then.
@@ -27,6 +27,11 @@
         &self.settings
     }
 
+    /// Returns whether a request of this class may be run more than once.
+    pub fn is_idempotent(&self, class: ClassId) -> bool {
+        self.settings.classes[class.0].idempotency == Idempotency::Idempotent
+    }
+
     /// Returns whether the controller has started.
     pub fn is_started(&self) -> bool {
         self.admission.is_some()
--- a/crates/heathspurd/src/event_loop/deadlines.rs
+++ b/crates/heathspurd/src/event_loop/deadlines.rs
@@ -16,7 +16,7 @@
             self.timers.next_deadline(),
             self.calls.next_timeout(),
             self.drain.next_deadline(),
-            self.interpreter.resume_deadline(),
+            self.interpreter.next_deadline(),
             Some(self.next_prune),
         ]
         .into_iter()
@@ -43,6 +43,9 @@
         {
             self.on_resume_timed_out();
         }
+        if self.interpreter.is_undecided_deadline_due(self.now) {
+            self.settle_undecided_runs();
+        }
         if self.next_prune <= self.now {
             self.next_prune = self.now + PRUNE_INTERVAL;
             self.idempotency.prune(clock::unix_micros());
--- a/crates/heathspurd/src/event_loop/execution.rs
+++ b/crates/heathspurd/src/event_loop/execution.rs
@@ -15,19 +15,31 @@
     /// Resume the paused run.
     Resume,
     /// Continue the run with the reply to its call.
-    CompleteCall(Bytes),
+    CompleteCall { call: PendingCall, reply: Bytes },
     /// Continue the run without its call; the number is that of the notice that reported the need for it.
     SkipCall(u64),
 }
 
+impl LastCommand {
+    /// Returns whether the command may be sent twice. A second start runs a request again whose run has ended. A second
+    /// reply does not identify its call, so the run takes it as the reply to its next call if it has reached that.
+    fn is_repeatable(&self, is_idempotent: bool) -> bool {
+        match self {
+            LastCommand::Run => is_idempotent,
+            LastCommand::CompleteCall { .. } => false,
+            LastCommand::Resume | LastCommand::SkipCall(_) => true,
+        }
+    }
+}
+
 /// What is known about the delivery of a run's last command to the interpreter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CommandDelivery {
     /// The command was sent on the current connection, before the gauge query of this number, or has not been sent yet.
     CurrentConnection { before_query: u64 },
-    /// The command was sent on a connection that broke. Either the command or the notice that the run has ended may be
-    /// lost.
-    Uncertain,
+    /// The command was sent on a connection that broke at the time `since`. Either the command or the notice that the
+    /// run has ended may be lost.
+    Uncertain { since: Time },
     /// The command was sent on a connection that broke, but a gauge query sent after it was answered before that, so
     /// the interpreter has received it.
     Confirmed,
@@ -211,46 +223,88 @@
         }
     }
 
-    /// Records that the connection broke after the gauge query `last_answered` was answered. A command that the
-    /// interpreter has received must not be resent: a run that ends before the command arrives would be started again,
-    /// and a run that already waits for its next call would take the reply to the earlier call as the reply to that one.
-    pub fn mark_uncertain(&mut self, last_answered: u64) {
+    /// Records that the connection broke at the time `now`, after the gauge query `last_answered` was answered. A command
+    /// that the interpreter has received must not be resent: a run that ends before the command arrives would be started
+    /// again, and a run that already waits for its next call would take the reply to the earlier call as the reply to
+    /// that one.
+    pub fn mark_uncertain(&mut self, last_answered: u64, now: Time) {
         let ExecutionState::Running { delivery, .. } = self else {
             return;
         };
-        *delivery = match *delivery {
-            CommandDelivery::Confirmed => CommandDelivery::Confirmed,
-            CommandDelivery::CurrentConnection { before_query }
-                if before_query <= last_answered =>
-            {
+        if let CommandDelivery::CurrentConnection { before_query } = *delivery {
+            *delivery = if before_query <= last_answered {
                 CommandDelivery::Confirmed
-            }
-            _ => CommandDelivery::Uncertain,
-        };
+            } else {
+                CommandDelivery::Uncertain { since: now }
+            };
+        }
     }
 
     /// Records that the notice of a run's end may be lost although the command to start the run was received, so that
     /// the command is resent. Applies only to a run that may be started again.
-    pub fn mark_start_uncertain(&mut self) {
+    pub fn mark_start_uncertain(&mut self, now: Time) {
         if !self.is_starting() {
             return;
         }
         if let ExecutionState::Running { delivery, .. } = self {
             if *delivery == CommandDelivery::Confirmed {
-                *delivery = CommandDelivery::Uncertain;
+                *delivery = CommandDelivery::Uncertain { since: now };
             }
         }
     }
 
-    /// Records that the last command is resent on a new connection, unless the interpreter is known to have received it.
-    pub fn mark_resent(&mut self, sent: CommandDelivery) {
-        if let ExecutionState::Running { delivery, .. } = self {
-            if *delivery != CommandDelivery::Confirmed {
-                *delivery = sent;
-            }
+    /// Records that the last command is resent on a new connection, unless the interpreter has received it, or may have
+    /// received it and must not receive it twice.
+    pub fn mark_resent(&mut self, sent: CommandDelivery, is_idempotent: bool) {
+        let ExecutionState::Running {
+            last_command,
+            delivery,
+            ..
+        } = self
+        else {
+            return;
+        };
+        let is_resent = match delivery {
+            CommandDelivery::CurrentConnection { .. } => true,
+            CommandDelivery::Uncertain { .. } => last_command.is_repeatable(is_idempotent),
+            CommandDelivery::Confirmed => false,
+        };
+        if is_resent {
+            *delivery = sent;
         }
     }
 
+    /// Returns since when it is unknown whether the interpreter has received the last command, if that command must not
+    /// be sent twice.
+    pub fn undecided_since(&self, is_idempotent: bool) -> Option<Time> {
+        match self {
+            ExecutionState::Running {
+                last_command,
+                delivery: CommandDelivery::Uncertain { since },
+                ..
+            } if !last_command.is_repeatable(is_idempotent) => Some(*since),
+            _ => None,
+        }
+    }
+
+    /// Lets a run wait again for the call whose reply it may not have received. Returns `false` if the last command was
+    /// not the reply to a call.
+    pub fn require_call_again(&mut self) -> bool {
+        let ExecutionState::Running {
+            run,
+            last_command: LastCommand::CompleteCall { call, .. },
+            ..
+        } = self
+        else {
+            return false;
+        };
+        *self = ExecutionState::AwaitingCall {
+            run: *run,
+            call: call.clone(),
+        };
+        true
+    }
+
     /// Returns the run, if there is one that has neither ended nor been paused.
     pub fn run(&self) -> Option<Run> {
         match self {
--- a/crates/heathspurd/src/event_loop/interpreter_events.rs
+++ b/crates/heathspurd/src/event_loop/interpreter_events.rs
@@ -1,14 +1,12 @@
-//! Handling of events from the interpreter's link: ended runs, calls that runs need, gauges and the state of the link.
+//! Handling of events from the interpreter's link: ended runs, calls that runs need, gauges and rejected commands.
 
-use crate::event_loop::deadlines::timer_without_gauges;
-use crate::event_loop::execution::{CallRequirement, ExecutionState, PendingCall};
-use crate::event_loop::interpreter_session::Resend;
+use crate::event_loop::execution::{CallRequirement, PendingCall};
 use crate::event_loop::EventLoop;
 use crate::frontend::{Answer, AttemptId};
 use crate::peers::interpreter::InterpreterEvent;
 use bytes::Bytes;
-use heathspur::{Event, Idempotency, Outcome, RequestId, Span};
-use heathspur_wire::interpreter::{RunOutcome, Warmth};
+use heathspur::{Event, Outcome, RequestId};
+use heathspur_wire::interpreter::RunOutcome;
 use tracing::warn;
 
 /// The verb of a gauge query, by which the interpreter reports its rejection.
@@ -50,25 +48,6 @@
         }
     }
 
-    /// Handles a new connection to an interpreter that started `uptime_ms` milliseconds ago.
-    fn on_connected(&mut self, warmth: Warmth, uptime_ms: f64) {
-        let age = Span::from_secs(uptime_ms / 1000.0);
-        self.start_controller(warmth == Warmth::Cold, self.now - age);
-        self.interpreter.begin_resume(self.now);
-    }
-
-    /// Handles the loss of the connection: commands may be lost, and pending gauge queries will not be answered.
-    fn on_disconnected(&mut self) {
-        let last_answered = self.interpreter.last_answered();
-        if self.interpreter.disconnect() {
-            self.table
-                .for_each_execution(|execution| execution.mark_uncertain(last_answered));
-        }
-        for token in self.timers.drain_awaiting_gauges() {
-            self.controller.push(timer_without_gauges(token));
-        }
-    }
-
     /// Handles the answer to a gauge query. All notices that were missed before the query have arrived by then.
     fn on_gauges(&mut self, query: u64, readings: &[f64]) {
         self.interpreter.record_answer(query);
@@ -84,32 +63,6 @@
         }
     }
 
-    /// Resumes the link after all missed notices have arrived.
-    fn finish_resume(&mut self) {
-        let resend = self.interpreter.finish_resume();
-        self.resend_matching(resend);
-    }
-
-    /// Handles the timeout of the wait for missed notices.
-    pub(super) fn on_resume_timed_out(&mut self) {
-        let resend = self.interpreter.time_out_resume();
-        self.resend_matching(resend);
-    }
-
-    /// Sends the last commands of the running requests that `resend` covers on the current connection.
-    fn resend_matching(&mut self, resend: Resend) {
-        let matching = self.table.find(|entry| {
-            let delivery = entry.execution.delivery();
-            delivery.is_some_and(|delivery| resend.covers(delivery))
-        });
-        for id in matching {
-            if let Some(entry) = self.table.get_mut(id) {
-                entry.execution.mark_resent(self.interpreter.delivery());
-            }
-            self.send_last_command(id);
-        }
-    }
-
     /// Handles the notice that a run needs a call.
     fn on_call_needed(&mut self, id: RequestId, call: PendingCall) {
         let Some(entry) = self.table.get_mut(id) else {
@@ -125,28 +78,6 @@
         }
     }
 
-    /// Handles the loss of notices: more were missed than the interpreter retains, so the end of a run may be among
-    /// them. A run that may have ended counts as failed: it must not be started again unless that does no harm, and
-    /// must not occupy a slot indefinitely. The other runs are started again once the link is up.
-    fn on_notices_lost(&mut self) {
-        warn!(
-            "the interpreter no longer retains the notices that this server missed; \
-             runs that may have ended count as failed"
-        );
-        let classes = &self.controller.settings().classes;
-        let may_have_ended = self.table.find(|entry| {
-            let is_idempotent = classes[entry.class.0].idempotency == Idempotency::Idempotent;
-            entry
-                .execution
-                .may_have_ended_unnoticed(is_idempotent, entry.owes_reply())
-        });
-        for id in may_have_ended {
-            self.on_run_ended(id, RunOutcome::Failed, Bytes::new());
-        }
-        self.table
-            .for_each_execution(ExecutionState::mark_start_uncertain);
-    }
-
     /// Handles a command that the interpreter rejected. A rejected gauge query will not be answered, so a resumption
     /// that waits for the answer is finished. A run whose start was rejected has failed.
     fn on_command_rejected(&mut self, command: &str, attempt: Option<AttemptId>) {
@@ -172,7 +103,7 @@
 
     /// Handles the end of a run. A run that was stopped at the controller's request, and to whose client an answer is
     /// still due, is paused or queued again.
-    fn on_run_ended(&mut self, id: RequestId, end: RunOutcome, body: Bytes) {
+    pub(super) fn on_run_ended(&mut self, id: RequestId, end: RunOutcome, body: Bytes) {
         let Some(entry) = self.table.get_mut(id) else {
             return;
         };
--- a/crates/heathspurd/src/event_loop/interpreter_session.rs
+++ b/crates/heathspurd/src/event_loop/interpreter_session.rs
@@ -10,6 +10,10 @@
 /// The longest wait for missed notices after a reconnection (1 s).
 const RESUME_TIMEOUT: Span = Span(1_000_000);
 
+/// How long a run has to send a notice, counted from the break of the connection, if it is unknown whether the
+/// interpreter has received the run's last command and the command must not be sent twice (1 s).
+const UNDECIDED_TIMEOUT: Span = Span(1_000_000);
+
 /// The state of the link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LinkState {
@@ -56,6 +60,8 @@
     /// The last query that was answered. The interpreter answers queries in order, after it has processed all commands
     /// sent before them.
     last_answered: u64,
+    /// When the next run whose last command may be lost counts as failed.
+    undecided_deadline: Option<Time>,
 }
 
 impl InterpreterSession {
@@ -66,6 +72,7 @@
             state: LinkState::Down,
             next_query: 1,
             last_answered: 0,
+            undecided_deadline: None,
         }
     }
 
@@ -121,6 +128,12 @@
         matches!(self.state, LinkState::Resuming { query: expected, .. } if expected == query)
     }
 
+    /// Returns the earliest deadline of the link.
+    pub fn next_deadline(&self) -> Option<Time> {
+        let deadlines = [self.resume_deadline(), self.undecided_deadline];
+        deadlines.into_iter().flatten().min()
+    }
+
     /// Returns when the wait for missed notices times out.
     pub fn resume_deadline(&self) -> Option<Time> {
         match self.state {
@@ -143,10 +156,27 @@
         Resend::OnlyUnsent
     }
 
+    /// Returns when a run counts as failed whose last command has been undecided since the time `since`.
+    pub fn undecided_deadline_of(since: Time) -> Time {
+        since + UNDECIDED_TIMEOUT
+    }
+
+    /// Sets when the next run whose last command is undecided counts as failed.
+    pub fn set_undecided_deadline(&mut self, deadline: Option<Time>) {
+        self.undecided_deadline = deadline;
+    }
+
+    /// Returns whether a run whose last command is undecided counts as failed by now.
+    pub fn is_undecided_deadline_due(&self, now: Time) -> bool {
+        self.undecided_deadline
+            .is_some_and(|deadline| deadline <= now)
+    }
+
     /// Marks the link as down. Returns whether it was up, so that commands may have been lost.
     pub fn disconnect(&mut self) -> bool {
         let was_up = self.is_up();
         self.state = LinkState::Down;
+        self.undecided_deadline = None;
         was_up
     }
 
--- a/crates/heathspurd/src/event_loop/mod.rs
+++ b/crates/heathspurd/src/event_loop/mod.rs
@@ -4,8 +4,8 @@
 //!
 //! A request passes through these modules: `admission` submits it to the controller, `dispatch` performs the
 //! controller's actions, `commands` sends commands to the interpreter and the store, `interpreter_events` and
-//! `store_events` handle their results, and `completion` answers and releases the request. `execution` defines the
-//! states of a request's execution.
+//! `store_events` handle their results, `reconnection` resends commands after a break of the link, and `completion`
+//! answers and releases the request. `execution` defines the states of a request's execution.
 
 mod admission;
 mod commands;
@@ -20,6 +20,7 @@
 mod interpreter_events;
 mod interpreter_session;
 mod peer_addresses;
+mod reconnection;
 mod request_table;
 mod shutdown;
 mod store_calls;
--- /dev/null
+++ b/crates/heathspurd/src/event_loop/reconnection.rs
@@ -0,0 +1,125 @@
+//! Reconnection to the interpreter: which commands are resent once the missed notices have arrived, and what becomes of
+//! runs whose last command may be lost.
+
+use crate::event_loop::deadlines::timer_without_gauges;
+use crate::event_loop::interpreter_session::{InterpreterSession, Resend};
+use crate::event_loop::request_table::Entry;
+use crate::event_loop::EventLoop;
+use bytes::Bytes;
+use heathspur::{Event, RequestId, Span};
+use heathspur_wire::interpreter::{RunOutcome, Warmth};
+use tracing::{info, warn};
+
+impl EventLoop {
+    /// Handles a new connection to an interpreter that started `uptime_ms` milliseconds ago.
+    pub(super) fn on_connected(&mut self, warmth: Warmth, uptime_ms: f64) {
+        let age = Span::from_secs(uptime_ms / 1000.0);
+        self.start_controller(warmth == Warmth::Cold, self.now - age);
+        self.interpreter.begin_resume(self.now);
+    }
+
+    /// Handles the loss of the connection: commands may be lost, and pending gauge queries will not be answered.
+    pub(super) fn on_disconnected(&mut self) {
+        let last_answered = self.interpreter.last_answered();
+        if self.interpreter.disconnect() {
+            self.table
+                .for_each_execution(|execution| execution.mark_uncertain(last_answered, self.now));
+        }
+        for token in self.timers.drain_awaiting_gauges() {
+            self.controller.push(timer_without_gauges(token));
+        }
+    }
+
+    /// Resumes the link after all missed notices have arrived.
+    pub(super) fn finish_resume(&mut self) {
+        let resend = self.interpreter.finish_resume();
+        self.resend_matching(resend);
+        self.settle_undecided_runs();
+    }
+
+    /// Handles the timeout of the wait for missed notices.
+    pub(super) fn on_resume_timed_out(&mut self) {
+        let resend = self.interpreter.time_out_resume();
+        self.resend_matching(resend);
+    }
+
+    /// Sends the last commands of the running requests that `resend` covers on the current connection.
+    fn resend_matching(&mut self, resend: Resend) {
+        let matching = self.table.find(|entry| {
+            let delivery = entry.execution.delivery();
+            delivery.is_some_and(|delivery| resend.covers(delivery))
+        });
+        for id in matching {
+            if let Some(entry) = self.table.get_mut(id) {
+                let is_idempotent = self.controller.is_idempotent(entry.class);
+                let delivery = self.interpreter.delivery();
+                entry.execution.mark_resent(delivery, is_idempotent);
+            }
+            self.send_last_command(id);
+        }
+    }
+
+    /// Settles the runs of which it is unknown whether the interpreter has received the last command, and whose command
+    /// must not be sent twice. If the interpreter has received it, a notice of the run follows, so a run is settled only
+    /// if none has arrived until its deadline.
+    pub(super) fn settle_undecided_runs(&mut self) {
+        let deadline_of = |entry: &Entry| {
+            let is_idempotent = self.controller.is_idempotent(entry.class);
+            let since = entry.execution.undecided_since(is_idempotent)?;
+            Some(InterpreterSession::undecided_deadline_of(since))
+        };
+        let is_due = |entry: &Entry| deadline_of(entry).is_some_and(|at| at <= self.now);
+        let due = self.table.find(is_due);
+        let next_deadline = self
+            .table
+            .min_of(|entry| deadline_of(entry).filter(|at| *at > self.now));
+        self.interpreter.set_undecided_deadline(next_deadline);
+        for id in due {
+            self.settle_undecided_run(id);
+        }
+    }
+
+    /// Lets an idempotent run make its call again: the store carries out a call only if the run still waits for it, and
+    /// then the run receives the new reply. Any other run counts as failed.
+    fn settle_undecided_run(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get_mut(id) else {
+            return;
+        };
+        let request = entry.attempt.as_str();
+        if self.controller.is_idempotent(entry.class) && entry.execution.require_call_again() {
+            info!(
+                request,
+                "request {request}: the reply to its call may be lost, the call is needed again"
+            );
+            self.controller.push(Event::CallNeeded(id));
+            return;
+        }
+        warn!(
+            request,
+            "request {request} counts as failed: its last command to the interpreter may be lost and must not be sent \
+             twice"
+        );
+        self.on_run_ended(id, RunOutcome::Failed, Bytes::new());
+    }
+
+    /// Handles the loss of notices: more were missed than the interpreter retains, so the end of a run may be among
+    /// them. A run that may have ended counts as failed: it must not be started again unless that does no harm, and
+    /// must not occupy a slot indefinitely. The other runs are started again once the link is up.
+    pub(super) fn on_notices_lost(&mut self) {
+        warn!(
+            "the interpreter no longer retains the notices that this server missed; \
+             runs that may have ended count as failed"
+        );
+        let may_have_ended = self.table.find(|entry| {
+            let is_idempotent = self.controller.is_idempotent(entry.class);
+            entry
+                .execution
+                .may_have_ended_unnoticed(is_idempotent, entry.owes_reply())
+        });
+        for id in may_have_ended {
+            self.on_run_ended(id, RunOutcome::Failed, Bytes::new());
+        }
+        self.table
+            .for_each_execution(|execution| execution.mark_start_uncertain(self.now));
+    }
+}
--- a/crates/heathspurd/src/event_loop/request_table.rs
+++ b/crates/heathspurd/src/event_loop/request_table.rs
@@ -5,7 +5,7 @@
 use crate::idempotency::Key;
 use async_channel::Sender;
 use bytes::Bytes;
-use heathspur::{ClassId, RequestId};
+use heathspur::{ClassId, RequestId, Time};
 use std::collections::{BTreeMap, HashMap};
 
 /// A request that was submitted and not released yet.
@@ -71,6 +71,11 @@
             .collect()
     }
 
+    /// Returns the earliest of the times that `time_of` returns for the requests.
+    pub fn min_of(&self, time_of: impl Fn(&Entry) -> Option<Time>) -> Option<Time> {
+        self.entries.values().filter_map(time_of).min()
+    }
+
     /// Returns whether an answer to any request is due.
     pub fn owes_reply(&self) -> bool {
         self.entries.values().any(Entry::owes_reply)
--- a/crates/heathspurd/src/event_loop/store_events.rs
+++ b/crates/heathspurd/src/event_loop/store_events.rs
@@ -18,7 +18,10 @@
         self.calls.complete(id, in_flight);
         self.end_call(id, completed.outcome);
         if completed.outcome == Outcome::Ok {
-            self.resume_run(id, |_| LastCommand::CompleteCall(completed.body));
+            self.resume_run(id, |call| LastCommand::CompleteCall {
+                call: call.clone(),
+                reply: completed.body,
+            });
         }
     }
 
--- a/crates/heathspurd/tests/unit/interpreter_events.rs
+++ b/crates/heathspurd/tests/unit/interpreter_events.rs
@@ -11,7 +11,7 @@
 use crate::peers::registration::Readiness;
 use crate::signals::SignalState;
 use async_channel::Receiver;
-use heathspur::{ClassId, Time};
+use heathspur::{ClassId, Span, Time};
 use std::rc::Rc;
 
 fn config() -> Config {
