Move the interpreter link only once the interpreter has received all commands

What callers saw: 200 with a result made from a wrong reply.

Cause: at a new address the link's task closed the sound connection at once (`run_connection`), and the event loop took the commands just written as possibly lost and sent them again on the new one. RESOLVE names no call, so a run that had reached its next call took the second one as its reply.

Evidence: each wrong reply is that of call 1 at call 2, no link broke, no command was lost, and the store gave one reply a call.

Change: the event loop decides when the link moves. It stops sending commands, sends a gauge query and moves the link once that is answered, or after 1 s. All earlier commands are confirmed then and none is sent again; commands due meanwhile are unsent, which is now a state of its own, and go out on the new link. Later reloads replace the next address; one back to the current address keeps the link.

--- a/crates/heathspur-testkit/src/mock_interpreter.rs
+++ b/crates/heathspur-testkit/src/mock_interpreter.rs
@@ -62,9 +62,7 @@
             if command["verb"] != "TOP" {
                 return command;
             }
-            self.send(
-                json!({"verb": "TOPS", "nonce": command["nonce"], "readings": [0.1, 0, 0.1, 2]}),
-            );
+            self.send(gauges(&command));
         }
     }
 
@@ -83,8 +81,21 @@
         }
     }
 
-    /// Reads until the server closes the link, and returns all commands but gauge queries.
-    pub fn read_remaining_commands(mut self) -> Vec<Value> {
+    /// Reads until the server closes the link, and returns all commands but gauge queries, which are not answered.
+    pub fn read_remaining_commands(self) -> Vec<Value> {
+        self.read_until_closed(|_, _| {})
+    }
+
+    /// Answers gauge queries until the server closes the link, and returns all other commands.
+    pub fn answer_gauge_queries_until_closed(self) -> Vec<Value> {
+        self.read_until_closed(|interpreter, query| {
+            // The server may close the link at any moment.
+            interpreter.try_send_raw(format!("{}\n", gauges(query)).as_bytes());
+        })
+    }
+
+    /// Reads until the server closes the link, passes each gauge query to `on_query`, and returns all other commands.
+    fn read_until_closed(mut self, mut on_query: impl FnMut(&mut Self, &Value)) -> Vec<Value> {
         let (start, mut commands, mut line) = (Instant::now(), Vec::new(), String::new());
         while matches!(self.reader.read_line(&mut line), Ok(n) if n > 0) {
             assert!(
@@ -92,7 +103,9 @@
                 "the server kept the interpreter link open for {EVENT_TIMEOUT:?}"
             );
             let command = parse_command(&line);
-            if command["verb"] != "TOP" {
+            if command["verb"] == "TOP" {
+                on_query(&mut self, &command);
+            } else {
                 commands.push(command);
             }
             line.clear();
@@ -140,9 +153,7 @@
                     Some("BREAK") => {
                         json!({"verb": "VALUE", "task": task, "outcome": "cancelled", "spent": 3})
                     }
-                    _ => {
-                        json!({"verb": "TOPS", "nonce": command["nonce"], "readings": [0.1, 0, 0.1, 2]})
-                    }
+                    _ => gauges(&command),
                 };
                 if reply["verb"] != "TOPS" {
                     self.last_index += 1;
@@ -165,9 +176,7 @@
         for _ in 0..count {
             let command = self.read_any_command();
             assert_eq!(command["verb"], "TOP", "{command}");
-            self.send(
-                json!({"verb": "TOPS", "nonce": command["nonce"], "readings": [0.1, 0, 0.1, 2]}),
-            );
+            self.send(gauges(&command));
         }
     }
 
@@ -210,6 +219,11 @@
     }
 }
 
+/// Returns the answer to a gauge query.
+fn gauges(query: &Value) -> Value {
+    json!({"verb": "TOPS", "nonce": query["nonce"], "readings": [0.1, 0, 0.1, 2]})
+}
+
 fn parse_command(line: &str) -> Value {
     serde_json::from_str(line)
         .unwrap_or_else(|e| panic!("parse the server's command {line:?} as JSON: {e}"))
--- a/crates/heathspurd/src/event_loop/deadlines.rs
+++ b/crates/heathspurd/src/event_loop/deadlines.rs
@@ -43,6 +43,9 @@
         {
             self.on_resume_timed_out();
         }
+        if self.interpreter.is_flush_deadline_due(self.now) {
+            self.on_flush_timed_out();
+        }
         if self.interpreter.is_undecided_deadline_due(self.now) {
             self.settle_undecided_runs();
         }
--- a/crates/heathspurd/src/event_loop/execution.rs
+++ b/crates/heathspurd/src/event_loop/execution.rs
@@ -35,7 +35,9 @@
 /// What is known about the delivery of a run's last command to the interpreter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CommandDelivery {
-    /// The command was sent on the current connection, before the gauge query of this number, or has not been sent yet.
+    /// The command has not been sent yet, because the link was not up.
+    Unsent,
+    /// The command was sent on the current connection, before the gauge query of this number.
     CurrentConnection { before_query: u64 },
     /// The command was sent on a connection that broke at the time `since`. Either the command or the notice that the
     /// run has ended may be lost.
@@ -253,7 +255,7 @@
         }
     }
 
-    /// Records that the last command is resent on a new connection, unless the interpreter has received it, or may have
+    /// Records that the last command is sent on a new connection, unless the interpreter has received it, or may have
     /// received it and must not receive it twice.
     pub fn mark_resent(&mut self, sent: CommandDelivery, is_idempotent: bool) {
         let ExecutionState::Running {
@@ -265,9 +267,9 @@
             return;
         };
         let is_resent = match delivery {
-            CommandDelivery::CurrentConnection { .. } => true,
+            CommandDelivery::Unsent => true,
             CommandDelivery::Uncertain { .. } => last_command.is_repeatable(is_idempotent),
-            CommandDelivery::Confirmed => false,
+            CommandDelivery::CurrentConnection { .. } | CommandDelivery::Confirmed => false,
         };
         if is_resent {
             *delivery = sent;
@@ -342,7 +344,7 @@
     pub fn may_have_ended_unnoticed(&self, is_idempotent: bool, owes_reply: bool) -> bool {
         match self {
             ExecutionState::Running {
-                delivery: CommandDelivery::CurrentConnection { .. },
+                delivery: CommandDelivery::Unsent | CommandDelivery::CurrentConnection { .. },
                 ..
             } => false,
             ExecutionState::Running { run, .. } if self.is_starting() && !run.stop_requested => {
--- a/crates/heathspurd/src/event_loop/interpreter_events.rs
+++ b/crates/heathspurd/src/event_loop/interpreter_events.rs
@@ -54,6 +54,9 @@
         if self.interpreter.resumes_with(query) {
             return self.finish_resume();
         }
+        if self.interpreter.flushes_with(query) {
+            return self.on_flushed();
+        }
         if self.interpreter.is_answer_overdue() {
             self.finish_resume();
         }
--- a/crates/heathspurd/src/event_loop/interpreter_session.rs
+++ b/crates/heathspurd/src/event_loop/interpreter_session.rs
@@ -5,11 +5,14 @@
 use crate::peers::interpreter::Link;
 use heathspur::{Span, Time};
 use heathspur_wire::interpreter::Command;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// The longest wait for missed notices after a reconnection (1 s).
 const RESUME_TIMEOUT: Span = Span(1_000_000);
 
+/// The longest wait until the interpreter has received the commands sent on a connection that is to be replaced (1 s).
+const FLUSH_TIMEOUT: Span = Span(1_000_000);
 /// How long a run has to send a notice, counted from the break of the connection, if it is unknown whether the
 /// interpreter has received the run's last command and the command must not be sent twice (1 s).
 const UNDECIDED_TIMEOUT: Span = Span(1_000_000);
@@ -28,9 +31,20 @@
     /// were sent on an earlier connection are not resent: their runs may have ended, and would run twice.
     AnswerOverdue,
     Up,
+    /// The interpreter gets a new address. The connection stays open, but no more commands are sent on it. All earlier
+    /// ones have been received once this gauge query is answered; the wait for the answer ends at the deadline.
+    Flushing {
+        query: u64,
+        deadline: Time,
+        next_address: SocketAddr,
+    },
+    /// The link reconnects to a new address. No commands are sent until it has.
+    Moving {
+        next_address: SocketAddr,
+    },
 }
 
-/// Selects the running requests whose last command is sent on the current connection.
+/// Selects the running requests whose last command is to be sent on the current connection, if that is safe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Resend {
     All,
@@ -43,11 +57,15 @@
 impl Resend {
     /// Returns whether the selection covers a command with this delivery.
     pub fn covers(self, delivery: CommandDelivery) -> bool {
-        let unsent = matches!(delivery, CommandDelivery::CurrentConnection { .. });
+        let is_unsent = delivery == CommandDelivery::Unsent;
+        let was_sent_before = matches!(
+            delivery,
+            CommandDelivery::Uncertain { .. } | CommandDelivery::Confirmed
+        );
         match self {
-            Resend::All => true,
-            Resend::OnlyUnsent => unsent,
-            Resend::OnlyPreviouslySent => !unsent,
+            Resend::All => is_unsent || was_sent_before,
+            Resend::OnlyUnsent => is_unsent,
+            Resend::OnlyPreviouslySent => was_sent_before,
         }
     }
 }
@@ -94,8 +112,11 @@
         query
     }
 
-    /// Returns the delivery of a command that is sent now.
+    /// Returns the delivery of a command that is sent now, or of one that cannot be sent yet.
     pub fn delivery(&self) -> CommandDelivery {
+        if !self.is_up() {
+            return CommandDelivery::Unsent;
+        }
         CommandDelivery::CurrentConnection {
             before_query: self.next_query,
         }
@@ -130,7 +151,11 @@
 
     /// Returns the earliest deadline of the link.
     pub fn next_deadline(&self) -> Option<Time> {
-        let deadlines = [self.resume_deadline(), self.undecided_deadline];
+        let deadlines = [
+            self.resume_deadline(),
+            self.flush_deadline(),
+            self.undecided_deadline,
+        ];
         deadlines.into_iter().flatten().min()
     }
 
@@ -138,8 +163,63 @@
     pub fn resume_deadline(&self) -> Option<Time> {
         match self.state {
             LinkState::Resuming { deadline, .. } => Some(deadline),
-            LinkState::Up | LinkState::AnswerOverdue | LinkState::Down => None,
+            _ => None,
+        }
+    }
+
+    /// Prepares the move to a new address. If commands may have been sent on the current connection, sends a gauge query,
+    /// whose answer shows that the interpreter has received them. Returns whether the link must not move yet.
+    pub fn begin_flush(&mut self, address: SocketAddr, now: Time) -> bool {
+        if let LinkState::Flushing { next_address, .. } | LinkState::Moving { next_address } =
+            &mut self.state
+        {
+            *next_address = address;
+            return true;
+        }
+        if !self.is_up() {
+            return false;
         }
+        let query = self.query_gauges();
+        self.state = LinkState::Flushing {
+            query,
+            deadline: now + FLUSH_TIMEOUT,
+            next_address: address,
+        };
+        true
+    }
+
+    /// Returns whether the answer to this query completes the flush.
+    pub fn flushes_with(&self, query: u64) -> bool {
+        matches!(self.state, LinkState::Flushing { query: expected, .. } if expected == query)
+    }
+
+    /// Returns when the wait for the flush times out.
+    fn flush_deadline(&self) -> Option<Time> {
+        match self.state {
+            LinkState::Flushing { deadline, .. } => Some(deadline),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the wait for the flush has timed out.
+    pub fn is_flush_deadline_due(&self, now: Time) -> bool {
+        self.flush_deadline()
+            .is_some_and(|deadline| deadline <= now)
+    }
+
+    /// Returns the address to which the link moves or is about to move.
+    pub fn next_address(&self) -> Option<SocketAddr> {
+        match self.state {
+            LinkState::Flushing { next_address, .. } | LinkState::Moving { next_address } => {
+                Some(next_address)
+            }
+            _ => None,
+        }
+    }
+
+    /// Records that the link reconnects to this address.
+    pub fn begin_move(&mut self, next_address: SocketAddr) {
+        self.state = LinkState::Moving { next_address };
     }
 
     /// Completes the resumption after all missed notices have arrived. Returns the commands to resend.
@@ -172,12 +252,10 @@
             .is_some_and(|deadline| deadline <= now)
     }
 
-    /// Marks the link as down. Returns whether it was up, so that commands may have been lost.
-    pub fn disconnect(&mut self) -> bool {
-        let was_up = self.is_up();
+    /// Marks the link as down.
+    pub fn disconnect(&mut self) {
         self.state = LinkState::Down;
         self.undecided_deadline = None;
-        was_up
     }
 
     /// Records the answer to a gauge query. Answers to queries that were never sent are ignored.
--- a/crates/heathspurd/src/event_loop/mod.rs
+++ b/crates/heathspurd/src/event_loop/mod.rs
@@ -288,7 +288,8 @@
             %interpreter, %registration, ?store,
             "peer addresses reloaded: interpreter {interpreter}, registration service {registration}, store {store:?}"
         );
-        self.peer_addresses.set(config);
+        self.set_interpreter_address(interpreter);
+        self.peer_addresses.registration.set(registration);
         self.calls.set_address(store);
     }
 }
--- a/crates/heathspurd/src/event_loop/peer_addresses.rs
+++ b/crates/heathspurd/src/event_loop/peer_addresses.rs
@@ -18,10 +18,4 @@
             registration: Rc::new(PeerAddress::new(config.registration)),
         }
     }
-
-    /// Sets the addresses to those of a reloaded configuration.
-    pub fn set(&self, config: &Config) {
-        self.interpreter.set(config.interpreter);
-        self.registration.set(config.registration);
-    }
 }
--- a/crates/heathspurd/src/event_loop/reconnection.rs
+++ b/crates/heathspurd/src/event_loop/reconnection.rs
@@ -1,5 +1,5 @@
-//! Reconnection to the interpreter: which commands are resent once the missed notices have arrived, and what becomes of
-//! runs whose last command may be lost.
+//! Reconnection to the interpreter, after a break or at a new address: when the link moves, which commands are resent once
+//! the missed notices have arrived, and what becomes of runs whose last command may be lost.
 
 use crate::event_loop::deadlines::timer_without_gauges;
 use crate::event_loop::interpreter_session::{InterpreterSession, Resend};
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use heathspur::{Event, RequestId, Span};
 use heathspur_wire::interpreter::{RunOutcome, Warmth};
+use std::net::SocketAddr;
 use tracing::{info, warn};
 
 impl EventLoop {
@@ -20,16 +21,56 @@
 
     /// Handles the loss of the connection: commands may be lost, and pending gauge queries will not be answered.
     pub(super) fn on_disconnected(&mut self) {
-        let last_answered = self.interpreter.last_answered();
-        if self.interpreter.disconnect() {
-            self.table
-                .for_each_execution(|execution| execution.mark_uncertain(last_answered, self.now));
+        if let Some(address) = self.interpreter.next_address() {
+            self.peer_addresses.interpreter.set(address);
         }
+        self.interpreter.disconnect();
+        let last_answered = self.interpreter.last_answered();
+        self.table
+            .for_each_execution(|execution| execution.mark_uncertain(last_answered, self.now));
         for token in self.timers.drain_awaiting_gauges() {
             self.controller.push(timer_without_gauges(token));
         }
     }
 
+    /// Moves the link to the interpreter's new address once the interpreter has received all commands that were sent on
+    /// the current connection: otherwise it would be unknown whether the last ones are lost.
+    pub(super) fn set_interpreter_address(&mut self, address: SocketAddr) {
+        let is_moving = self.interpreter.next_address().is_some();
+        if !is_moving && address == self.peer_addresses.interpreter.get() {
+            return;
+        }
+        if !self.interpreter.begin_flush(address, self.now) {
+            self.peer_addresses.interpreter.set(address);
+        }
+    }
+
+    /// Handles the answer that shows that the interpreter has received all commands.
+    pub(super) fn on_flushed(&mut self) {
+        if !self.move_link() {
+            self.finish_resume();
+        }
+    }
+
+    /// Handles the timeout of the wait for that answer.
+    pub(super) fn on_flush_timed_out(&mut self) {
+        if !self.move_link() {
+            self.on_resume_timed_out();
+        }
+    }
+
+    /// Lets the link reconnect to its next address. Returns `false` if later reloads have made that the current one.
+    fn move_link(&mut self) -> bool {
+        let current = self.peer_addresses.interpreter.get();
+        let next_address = self.interpreter.next_address();
+        let Some(address) = next_address.filter(|next| *next != current) else {
+            return false;
+        };
+        self.interpreter.begin_move(address);
+        self.peer_addresses.interpreter.set(address);
+        true
+    }
+
     /// Resumes the link after all missed notices have arrived.
     pub(super) fn finish_resume(&mut self) {
         let resend = self.interpreter.finish_resume();
