Type rejected commands at the edge, and share the set-ups of link tests

The event loop compared verbs of the protocol to find out which command the interpreter had rejected. The wire package now maps the verb to `RejectedCommand`; the log line prints the verb as before.

The process tests of reconnection and of the link's move share their set-up and their checks in tests/common: the start of a run, a call with its reply, the RESOLVE that delivers it (which now compares the whole command, with its task) and the end. No assertion was dropped.

No change of behaviour.

--- a/crates/heathspur-wire/src/interpreter/mod.rs
+++ b/crates/heathspur-wire/src/interpreter/mod.rs
@@ -6,7 +6,7 @@
 mod notice;
 
 pub use command::{write_command, Command};
-pub use notice::{parse_notice, Error, Notice, RunOutcome, Warmth};
+pub use notice::{parse_notice, Error, Notice, RejectedCommand, RunOutcome, Warmth};
 
 /// The longest accepted line, in bytes.
 pub const MAX_LINE_BYTES: usize = 64 * 1024;
--- a/crates/heathspur-wire/src/interpreter/notice.rs
+++ b/crates/heathspur-wire/src/interpreter/notice.rs
@@ -69,8 +69,8 @@
     },
     /// A command was rejected.
     CommandRejected {
-        /// The verb of the command.
-        command: Cow<'a, str>,
+        /// The command.
+        command: RejectedCommand,
         /// The request.
         request_id: Cow<'a, str>,
     },
@@ -81,6 +81,41 @@
     },
 }
 
+/// The verb of [`Command::Run`](super::Command::Run).
+const RUN_VERB: &str = "APPLY";
+/// The verb of [`Command::QueryGauges`](super::Command::QueryGauges).
+const QUERY_GAUGES_VERB: &str = "TOP";
+
+/// The kind of a command that the interpreter rejected.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RejectedCommand {
+    /// The command that starts a run.
+    Run,
+    /// The query of the gauges.
+    QueryGauges,
+    /// Another command, with its verb as received.
+    Other(String),
+}
+
+impl RejectedCommand {
+    fn from_verb(verb: Cow<'_, str>) -> RejectedCommand {
+        match verb.as_ref() {
+            RUN_VERB => RejectedCommand::Run,
+            QUERY_GAUGES_VERB => RejectedCommand::QueryGauges,
+            _ => RejectedCommand::Other(verb.into_owned()),
+        }
+    }
+
+    /// Returns the command's verb in the protocol.
+    pub fn verb(&self) -> &str {
+        match self {
+            RejectedCommand::Run => RUN_VERB,
+            RejectedCommand::QueryGauges => QUERY_GAUGES_VERB,
+            RejectedCommand::Other(verb) => verb,
+        }
+    }
+}
+
 /// The reason why a line is not a notice.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -195,7 +230,7 @@
 
     fn into_command_rejected(self) -> Notice<'a> {
         Notice::CommandRejected {
-            command: self.outcome.unwrap_or_default(),
+            command: RejectedCommand::from_verb(self.outcome.unwrap_or_default()),
             request_id: self.request_id.unwrap_or_default(),
         }
     }
--- a/crates/heathspur-wire/tests/links.rs
+++ b/crates/heathspur-wire/tests/links.rs
@@ -1,6 +1,6 @@
 //! Tests of the interpreter's messages and the store's lines: format, limits, partial reads and invalid input.
 
-use heathspur_wire::interpreter::{self, Command, Notice, RunOutcome, Warmth};
+use heathspur_wire::interpreter::{self, Command, Notice, RejectedCommand, RunOutcome, Warmth};
 use heathspur_wire::store::{self, CallStatus};
 
 fn command_line(command: Command<'_>) -> String {
@@ -108,13 +108,29 @@
             readings: vec![0.5, 3.0, 0.25, 40.0]
         }
     );
-    assert_eq!(
-        read(r#"{"verb":"ERROR","outcome":"APPLY","task":"9b1f"}"#),
-        Notice::CommandRejected {
-            command: "APPLY".into(),
-            request_id: "9b1f".into()
-        }
-    );
+    for (line, command) in [
+        (
+            r#"{"verb":"ERROR","outcome":"APPLY","task":"9b1f"}"#,
+            RejectedCommand::Run,
+        ),
+        (
+            r#"{"verb":"ERROR","outcome":"TOP","task":"9b1f"}"#,
+            RejectedCommand::QueryGauges,
+        ),
+        (
+            r#"{"verb":"ERROR","outcome":"BREAK","task":"9b1f"}"#,
+            RejectedCommand::Other("BREAK".into()),
+        ),
+    ] {
+        assert!(line.contains(command.verb()));
+        assert_eq!(
+            read(line),
+            Notice::CommandRejected {
+                command,
+                request_id: "9b1f".into()
+            }
+        );
+    }
     assert_eq!(
         read(r#"{"verb":"TRACE","index":6,"outcome":"\u00e4\n"}"#),
         Notice::Log { index: 6 }
--- a/crates/heathspurd/src/event_loop/interpreter_events.rs
+++ b/crates/heathspurd/src/event_loop/interpreter_events.rs
@@ -6,14 +6,9 @@
 use crate::peers::interpreter::InterpreterEvent;
 use bytes::Bytes;
 use heathspur::{Event, Outcome, RequestId};
-use heathspur_wire::interpreter::RunOutcome;
+use heathspur_wire::interpreter::{RejectedCommand, RunOutcome};
 use tracing::warn;
 
-/// The verb of a gauge query, by which the interpreter reports its rejection.
-const GAUGES_COMMAND: &str = "TOP";
-/// The verb of the command that starts a run, by which the interpreter reports its rejection.
-const START_COMMAND: &str = "APPLY";
-
 impl EventLoop {
     /// Handles an event from the link. A run's end or call is ignored if its attempt is not in the request table.
     pub(super) fn on_interpreter_event(&mut self, event: InterpreterEvent) {
@@ -43,7 +38,7 @@
             }
             InterpreterEvent::NoticesLost => self.on_notices_lost(),
             InterpreterEvent::CommandRejected { command, attempt } => {
-                self.on_command_rejected(&command, attempt)
+                self.on_command_rejected(command, attempt)
             }
         }
     }
@@ -83,11 +78,11 @@
 
     /// Handles a command that the interpreter rejected. A rejected gauge query will not be answered, so a resumption
     /// that waits for the answer is finished. A run whose start was rejected has failed.
-    fn on_command_rejected(&mut self, command: &str, attempt: Option<AttemptId>) {
-        if command == GAUGES_COMMAND && self.interpreter.is_resuming() {
+    fn on_command_rejected(&mut self, command: RejectedCommand, attempt: Option<AttemptId>) {
+        if command == RejectedCommand::QueryGauges && self.interpreter.is_resuming() {
             self.finish_resume();
         }
-        if command == START_COMMAND {
+        if command == RejectedCommand::Run {
             let rejected = attempt
                 .and_then(|attempt| self.table.find_attempt(&attempt))
                 .filter(|id| self.is_starting(*id));
@@ -95,6 +90,7 @@
                 self.on_run_ended(id, RunOutcome::Failed, Bytes::new());
             }
         }
+        let command = command.verb();
         warn!(command, "the interpreter rejected the command {command:?}");
     }
 
--- a/crates/heathspurd/src/event_loop/interpreter_session.rs
+++ b/crates/heathspurd/src/event_loop/interpreter_session.rs
@@ -10,7 +10,6 @@
 
 /// The longest wait for missed notices after a reconnection (1 s).
 const RESUME_TIMEOUT: Span = Span(1_000_000);
-
 /// The longest wait until the interpreter has received the commands sent on a connection that is to be replaced (1 s).
 const FLUSH_TIMEOUT: Span = Span(1_000_000);
 /// How long a run has to send a notice, counted from the break of the connection, if it is unknown whether the
@@ -78,7 +77,7 @@
     /// The last query that was answered. The interpreter answers queries in order, after it has processed all commands
     /// sent before them.
     last_answered: u64,
-    /// When the next run whose last command may be lost counts as failed.
+    /// When the next run is settled whose last command may be lost and must not be sent twice.
     undecided_deadline: Option<Time>,
 }
 
@@ -236,17 +235,17 @@
         Resend::OnlyUnsent
     }
 
-    /// Returns when a run counts as failed whose last command has been undecided since the time `since`.
+    /// Returns when a run is settled whose last command has been undecided since the time `since`.
     pub fn undecided_deadline_of(since: Time) -> Time {
         since + UNDECIDED_TIMEOUT
     }
 
-    /// Sets when the next run whose last command is undecided counts as failed.
+    /// Sets when the next run is settled whose last command is undecided.
     pub fn set_undecided_deadline(&mut self, deadline: Option<Time>) {
         self.undecided_deadline = deadline;
     }
 
-    /// Returns whether a run whose last command is undecided counts as failed by now.
+    /// Returns whether a run whose last command is undecided is to be settled by now.
     pub fn is_undecided_deadline_due(&self, now: Time) -> bool {
         self.undecided_deadline
             .is_some_and(|deadline| deadline <= now)
--- a/crates/heathspurd/src/peers/interpreter/mod.rs
+++ b/crates/heathspurd/src/peers/interpreter/mod.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use futures_lite::{future, AsyncWriteExt};
 use heathspur_record::recorder::Leg;
-use heathspur_wire::interpreter::{self as wire, Command, RunOutcome, Warmth};
+use heathspur_wire::interpreter::{self as wire, Command, RejectedCommand, RunOutcome, Warmth};
 use notice_sequence::NoticeSequence;
 use notices::read_notices;
 use std::cell::RefCell;
@@ -57,9 +57,9 @@
     },
     /// The reply to the gauge query with this nonce.
     Gauges { nonce: u64, readings: Vec<f64> },
-    /// The interpreter rejected a command. `command` is the command's verb.
+    /// The interpreter rejected a command.
     CommandRejected {
-        command: String,
+        command: RejectedCommand,
         attempt: Option<AttemptId>,
     },
     /// Notices were missed, and the interpreter no longer retains them.
--- a/crates/heathspurd/src/peers/interpreter/notices.rs
+++ b/crates/heathspurd/src/peers/interpreter/notices.rs
@@ -162,7 +162,7 @@
             command,
             request_id,
         } => Some(InterpreterEvent::CommandRejected {
-            command: command.into_owned(),
+            command,
             attempt: AttemptId::parse(request_id.as_bytes()),
         }),
         Notice::Log { .. } => None,
--- a/crates/heathspurd/tests/common/mod.rs
+++ b/crates/heathspurd/tests/common/mod.rs
@@ -3,6 +3,8 @@
 // Each test binary uses only some of these items.
 #![allow(dead_code)]
 
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
 use heathspur_testkit::prelude::*;
 use procfs::net::TcpState;
 use procfs::process::Process;
@@ -25,6 +27,47 @@
     json!(listener.local_addr().unwrap())
 }
 
+/// Starts a server and the run of its first request.
+pub fn start_run(key: Option<&str>) -> (ServerFixture, MockInterpreter, Http1Client) {
+    let server = ServerFixture::start();
+    let mut interpreter = server.accept_link();
+    let mut client = server.connect_client();
+    client.send(&request(1, key, b"abc"));
+    assert_eq!(interpreter.read_apply().0, task_id(1));
+    (server, interpreter, client)
+}
+
+/// Has the first request's run make a call, and answers it.
+pub fn make_call(
+    server: &ServerFixture,
+    interpreter: &mut MockInterpreter,
+    call: &[u8],
+    reply: &str,
+) -> MockStore {
+    interpreter.send_await(&task_id(1), call);
+    answer_call(server, call, reply)
+}
+
+/// Accepts the connection of a call of the first request's run, and answers the call.
+pub fn answer_call(server: &ServerFixture, call: &[u8], reply: &str) -> MockStore {
+    let mut store = MockStore::accept(server);
+    assert_eq!(store.read_call().1, call);
+    store.send_ok(1, reply);
+    store
+}
+
+/// Checks that the command delivers this reply to the first request's run.
+pub fn assert_delivers_reply(command: &Value, reply: &str) {
+    let expected = json!({"verb": "RESOLVE", "task": task_id(1), "bytes": STANDARD.encode(reply)});
+    assert_eq!(command, &expected);
+}
+
+/// Completes the first request's run, and checks that its client gets the result.
+pub fn complete_run(interpreter: &mut MockInterpreter, client: &mut Http1Client) {
+    interpreter.send_value(&task_id(1), "complete", b"done");
+    assert_eq!(client.read_response().2, b"done");
+}
+
 /// Waits until the condition holds.
 ///
 /// # Panics
--- a/crates/heathspurd/tests/interpreter_move.rs
+++ b/crates/heathspurd/tests/interpreter_move.rs
@@ -3,24 +3,13 @@
 
 mod common;
 
-use common::task_id;
+use common::{assert_delivers_reply, complete_run, make_call, start_run, task_id};
 use heathspur_testkit::prelude::*;
-use serde_json::json;
 
 /// The number of gauge queries, one each 20 ms, after which a run would have failed whose last command was left undecided
 /// by the move (1 s).
 const QUERIES_UNTIL_UNDECIDED_RUNS_FAIL: usize = 75;
 
-/// Starts a server and the run of a keyed request.
-fn start_keyed_run() -> (ServerFixture, MockInterpreter, Http1Client) {
-    let server = ServerFixture::start();
-    let mut interpreter = server.accept_link();
-    let mut client = server.connect_client();
-    client.send(&request(1, Some("k"), b"abc"));
-    assert_eq!(interpreter.read_apply().0, task_id(1));
-    (server, interpreter, client)
-}
-
 /// Answers the gauge queries on the old link until the server closes it, and checks that it carries no other command.
 fn answer_queries_until_closed(old_link: MockInterpreter) {
     let commands = old_link.answer_gauge_queries_until_closed();
@@ -36,46 +25,34 @@
 // reply again on the new one, where the run already waited for its next call.
 #[test]
 fn call_reply_sent_before_move_is_received_before_link_closes() {
-    let (mut server, mut interpreter, mut client) = start_keyed_run();
-    interpreter.send_await(&task_id(1), b"one");
-    let mut store = MockStore::accept(&server);
-    assert_eq!(store.read_call().1, b"one");
-    store.send_ok(1, "first");
+    let (mut server, mut interpreter, mut client) = start_run(Some("k"));
+    let _store = make_call(&server, &mut interpreter, b"one", "first");
     assert_eq!(interpreter.read_command()["verb"], "RESOLVE");
     let _reports = server.replace_peer_addresses();
     answer_queries_until_closed(interpreter);
     let mut interpreter = server.accept_link();
     assert_no_command_is_resent(&mut interpreter);
     // The run reaches its next call only now, and that call gets its own reply.
-    interpreter.send_await(&task_id(1), b"two");
-    let mut store = MockStore::accept(&server);
-    assert_eq!(store.read_call().1, b"two");
-    store.send_ok(1, "second");
-    let reply = interpreter.read_command();
-    assert_eq!(
-        (&reply["verb"], &reply["bytes"]),
-        (&json!("RESOLVE"), &json!("c2Vjb25k"))
-    );
-    interpreter.send_value(&task_id(1), "complete", b"done");
-    assert_eq!(client.read_response().2, b"done");
+    let _store = make_call(&server, &mut interpreter, b"two", "second");
+    assert_delivers_reply(&interpreter.read_command(), "second");
+    complete_run(&mut interpreter, &mut client);
 }
 
 // Guards against a second run of a keyed request, and against its failure, when the link moves just after its start.
 #[test]
 fn keyed_start_sent_before_move_is_received_before_link_closes() {
-    let (mut server, interpreter, mut client) = start_keyed_run();
+    let (mut server, interpreter, mut client) = start_run(Some("k"));
     let _reports = server.replace_peer_addresses();
     answer_queries_until_closed(interpreter);
     let mut interpreter = server.accept_link();
     assert_no_command_is_resent(&mut interpreter);
-    interpreter.send_value(&task_id(1), "complete", b"done");
-    assert_eq!(client.read_response().2, b"done");
+    complete_run(&mut interpreter, &mut client);
 }
 
 // Guards against a lost or repeated command: it was due while the server waited for the old link's last answer.
 #[test]
 fn request_that_arrives_during_move_starts_once_on_new_link() {
-    let (mut server, mut interpreter, _client) = start_keyed_run();
+    let (mut server, mut interpreter, _client) = start_run(Some("k"));
     let _reports = server.replace_peer_addresses();
     server.wait_for_log("peer addresses reloaded");
     let mut client = server.connect_client();
@@ -95,20 +72,19 @@
 
 #[test]
 fn link_moves_although_old_interpreter_answers_nothing() {
-    let (mut server, old_link, mut client) = start_keyed_run();
+    let (mut server, old_link, mut client) = start_run(Some("k"));
     let _reports = server.replace_peer_addresses();
     let mut interpreter = server.accept_link();
     let commands = old_link.read_remaining_commands();
     assert!(commands.is_empty(), "{commands:?}");
     // It is unknown whether the start was received, so it is not sent again, and a notice shows that it was.
     interpreter.answer_gauge_queries(2);
-    interpreter.send_value(&task_id(1), "complete", b"done");
-    assert_eq!(client.read_response().2, b"done");
+    complete_run(&mut interpreter, &mut client);
 }
 
 #[test]
 fn reload_back_to_current_address_keeps_link() {
-    let (mut server, mut interpreter, mut client) = start_keyed_run();
+    let (mut server, mut interpreter, mut client) = start_run(Some("k"));
     let current = (server.config["vm"].clone(), server.config["store"].clone());
     let _first_reports = server.replace_peer_addresses();
     server.wait_for_log("peer addresses reloaded");
@@ -116,8 +92,7 @@
     server.reload_config();
     server.wait_for_log("peer addresses reloaded");
     assert_no_command_is_resent(&mut interpreter);
-    interpreter.send_value(&task_id(1), "complete", b"done");
-    assert_eq!(client.read_response().2, b"done");
+    complete_run(&mut interpreter, &mut client);
     client.send(&request(2, Some("other"), b"def"));
     assert_eq!(interpreter.read_apply().0, task_id(2));
 }
--- a/crates/heathspurd/tests/reconnect.rs
+++ b/crates/heathspurd/tests/reconnect.rs
@@ -3,15 +3,10 @@
 
 mod common;
 
-use common::task_id;
+use common::{answer_call, assert_delivers_reply, complete_run, make_call, start_run, task_id};
 use heathspur_testkit::prelude::*;
 use serde_json::{json, Value};
 
-/// The reply bodies `first`, `second` and `third` as they are written on the link, in Base64.
-const FIRST_BASE64: &str = "Zmlyc3Q=";
-const SECOND_BASE64: &str = "c2Vjb25k";
-const THIRD_BASE64: &str = "dGhpcmQ=";
-
 fn answer_gauge_query(interpreter: &mut MockInterpreter, nonce: &Value) {
     interpreter.send(json!({"verb": "TOPS", "nonce": nonce, "readings": [0.1, 0, 0.1, 2]}));
 }
@@ -23,30 +18,13 @@
     answer_gauge_query(interpreter, &command["nonce"]);
 }
 
-/// Starts a server and the run of its first request.
-fn start_run(key: Option<&str>) -> (ServerFixture, MockInterpreter, Http1Client) {
-    let server = ServerFixture::start();
-    let mut interpreter = server.accept_link();
-    let mut client = server.connect_client();
-    client.send(&request(1, key, b"abc"));
-    interpreter.read_apply();
-    (server, interpreter, client)
-}
-
 /// Starts a server and a run that was sent the reply to its first call.
 fn start_run_with_reply(
     key: Option<&str>,
 ) -> (ServerFixture, MockInterpreter, Http1Client, MockStore) {
     let (server, mut interpreter, client) = start_run(key);
-    interpreter.send_await(&task_id(1), b"one");
-    let mut store = MockStore::accept(&server);
-    assert_eq!(store.read_call().1, b"one");
-    store.send_ok(1, "first");
-    let reply = interpreter.read_command();
-    assert_eq!(
-        (&reply["verb"], &reply["bytes"]),
-        (&json!("RESOLVE"), &json!(FIRST_BASE64))
-    );
+    let store = make_call(&server, &mut interpreter, b"one", "first");
+    assert_delivers_reply(&interpreter.read_command(), "first");
     (server, interpreter, client, store)
 }
 
@@ -64,8 +42,7 @@
     let mut other_client = server.connect_client();
     other_client.send(&request(2, None, b"def"));
     assert_eq!(interpreter.read_apply().0, task_id(2));
-    interpreter.send_value(&task_id(1), "complete", b"done");
-    assert_eq!(client.read_response().2, b"done");
+    complete_run(&mut interpreter, &mut client);
 }
 
 #[test]
@@ -77,17 +54,9 @@
     let mut interpreter = server.accept_link();
     answer_next_gauge_query(&mut interpreter);
     // The notice of the next call is on its way: a reply resent now would be taken as the reply to that call.
-    interpreter.send_await(&task_id(1), b"two");
-    let mut store = MockStore::accept(&server);
-    assert_eq!(store.read_call().1, b"two");
-    store.send_ok(1, "second");
-    let reply = interpreter.read_command();
-    assert_eq!(
-        (&reply["verb"], &reply["bytes"]),
-        (&json!("RESOLVE"), &json!(SECOND_BASE64))
-    );
-    interpreter.send_value(&task_id(1), "complete", b"done");
-    assert_eq!(client.read_response().2, b"done");
+    let _store = make_call(&server, &mut interpreter, b"two", "second");
+    assert_delivers_reply(&interpreter.read_command(), "second");
+    complete_run(&mut interpreter, &mut client);
 }
 
 // Guards against a call that gets the reply to an earlier one: the reply was sent again although the run had it.
@@ -98,17 +67,9 @@
     let mut interpreter = server.accept_link();
     answer_next_gauge_query(&mut interpreter);
     // The run did read the reply on the first link, and reaches its next call only now.
-    interpreter.send_await(&task_id(1), b"two");
-    let mut store = MockStore::accept(&server);
-    assert_eq!(store.read_call().1, b"two");
-    store.send_ok(1, "second");
-    let reply = interpreter.read_command_ignoring_gauges();
-    assert_eq!(
-        (&reply["verb"], &reply["bytes"]),
-        (&json!("RESOLVE"), &json!(SECOND_BASE64))
-    );
-    interpreter.send_value(&task_id(1), "complete", b"done");
-    assert_eq!(client.read_response().2, b"done");
+    let _store = make_call(&server, &mut interpreter, b"two", "second");
+    assert_delivers_reply(&interpreter.read_command_ignoring_gauges(), "second");
+    complete_run(&mut interpreter, &mut client);
 }
 
 // Guards against a request without an answer, and against a run that occupies its slot for good: the reply was lost.
@@ -130,16 +91,9 @@
     drop(interpreter);
     let mut interpreter = server.accept_link();
     answer_next_gauge_query(&mut interpreter);
-    let mut store = MockStore::accept(&server);
-    assert_eq!(store.read_call().1, b"one");
-    store.send_ok(1, "second");
-    let reply = interpreter.read_command_ignoring_gauges();
-    assert_eq!(
-        (&reply["verb"], &reply["bytes"]),
-        (&json!("RESOLVE"), &json!(SECOND_BASE64))
-    );
-    interpreter.send_value(&task_id(1), "complete", b"done");
-    assert_eq!(client.read_response().2, b"done");
+    let _store = answer_call(&server, b"one", "second");
+    assert_delivers_reply(&interpreter.read_command_ignoring_gauges(), "second");
+    complete_run(&mut interpreter, &mut client);
 }
 
 #[test]
@@ -157,13 +111,8 @@
     assert_eq!(third.read_call().1, b"three");
     second.assert_closed();
     third.send_ok(1, "third");
-    let reply = interpreter.read_command_ignoring_gauges();
-    assert_eq!(
-        (&reply["verb"], &reply["bytes"]),
-        (&json!("RESOLVE"), &json!(THIRD_BASE64))
-    );
-    interpreter.send_value(&task_id(1), "complete", b"done");
-    assert_eq!(client.read_response().2, b"done");
+    assert_delivers_reply(&interpreter.read_command_ignoring_gauges(), "third");
+    complete_run(&mut interpreter, &mut client);
 }
 
 // Guards against a second run of a keyed request: its start was sent just before the break, received, and sent again.
