Send stops that became due while the link was about to move and then stayed

A reload to a new address and back, before the old connection has answered the flush, keeps the link. A BREAK that became due meanwhile was not sent then: only unsent commands were, and the run's last command was a sent one. Nobody waits for such a run, and it would have run to its end.

The answer that ends the flush also confirms the commands before it, so they are now classified as at a break, and the resend, which already sends the stops of confirmed runs, covers them.

Test: run_cancelled_during_move_back_to_current_address_receives_break; without the change the server sends only gauge queries.

--- a/crates/heathspurd/src/event_loop/reconnection.rs
+++ b/crates/heathspurd/src/event_loop/reconnection.rs
@@ -25,14 +25,19 @@
             self.peer_addresses.interpreter.set(address);
         }
         self.interpreter.disconnect();
-        let last_answered = self.interpreter.last_answered();
-        self.table
-            .for_each_execution(|execution| execution.mark_uncertain(last_answered, self.now));
+        self.classify_sent_commands();
         for token in self.timers.drain_awaiting_gauges() {
             self.controller.push(timer_without_gauges(token));
         }
     }
 
+    /// Records which of the commands sent on the current connection the interpreter has received for certain.
+    fn classify_sent_commands(&mut self) {
+        let last_answered = self.interpreter.last_answered();
+        self.table
+            .for_each_execution(|execution| execution.mark_uncertain(last_answered, self.now));
+    }
+
     /// Moves the link to the interpreter's new address once the interpreter has received all commands that were sent on
     /// the current connection: otherwise it would be unknown whether the last ones are lost.
     pub(super) fn set_interpreter_address(&mut self, address: SocketAddr) {
@@ -45,9 +50,11 @@
         }
     }
 
-    /// Handles the answer that shows that the interpreter has received all commands.
+    /// Handles the answer that shows that the interpreter has received all commands. If the link stays, the commands that
+    /// became due during the wait are sent, stops among them.
     pub(super) fn on_flushed(&mut self) {
         if !self.move_link() {
+            self.classify_sent_commands();
             self.finish_resume();
         }
     }
--- a/crates/heathspurd/tests/interpreter_move.rs
+++ b/crates/heathspurd/tests/interpreter_move.rs
@@ -82,17 +82,35 @@
     complete_run(&mut interpreter, &mut client);
 }
 
-#[test]
-fn reload_back_to_current_address_keeps_link() {
-    let (mut server, mut interpreter, mut client) = start_run(Some("k"));
+/// Moves all peers to new addresses and back, before the old link has answered anything.
+fn reload_there_and_back(server: &mut ServerFixture, during_move: impl FnOnce()) {
     let current = (server.config["vm"].clone(), server.config["store"].clone());
-    let _first_reports = server.replace_peer_addresses();
+    let _reports = server.replace_peer_addresses();
     server.wait_for_log("peer addresses reloaded");
+    during_move();
     (server.config["vm"], server.config["store"]) = current;
     server.reload_config();
     server.wait_for_log("peer addresses reloaded");
+}
+
+#[test]
+fn reload_back_to_current_address_keeps_link() {
+    let (mut server, mut interpreter, mut client) = start_run(Some("k"));
+    reload_there_and_back(&mut server, || {});
     assert_no_command_is_resent(&mut interpreter);
     complete_run(&mut interpreter, &mut client);
     client.send(&request(2, Some("other"), b"def"));
     assert_eq!(interpreter.read_apply().0, task_id(2));
 }
+
+// Guards against a run that nobody waits for and nobody stops: the stop was due while the link was about to move.
+#[test]
+fn run_cancelled_during_move_back_to_current_address_receives_break() {
+    let (mut server, mut interpreter, client) = start_run(None);
+    reload_there_and_back(&mut server, || drop(client));
+    let command = interpreter.read_command();
+    assert_eq!(
+        (command["verb"].as_str(), command["task"].as_str()),
+        (Some("BREAK"), Some(task_id(1).as_str()))
+    );
+}
