Do not repeat a call to a replica after its reply may have been received

With failover between zones (off on the platform) the call goes to a replica, which knows nothing of runs; its reply could meet the run's next call, which is the fault that the change is against.

With failover such a run now fails, as a run does that must not run twice.

Test: run_whose_call_reply_was_lost_fails_without_another_call_to_a_replica; without the change the call was made again (503 instead of 500 after some seconds). The element of the operator's file that failover.rs writes is built in one place now.

--- a/crates/heathspurd/src/event_loop/reconnection.rs
+++ b/crates/heathspurd/src/event_loop/reconnection.rs
@@ -127,14 +127,16 @@
         }
     }
 
-    /// Lets an idempotent run make its call again: the store carries out a call only if the run still waits for it, and
-    /// then the run receives the new reply. Any other run counts as failed.
+    /// Lets an idempotent run make its call again if the store carries out a call only while the run waits for it: the
+    /// new reply then belongs to that call. Any other run counts as failed.
     fn settle_undecided_run(&mut self, id: RequestId) {
         let Some(entry) = self.table.get_mut(id) else {
             return;
         };
         let request = entry.attempt.as_str();
-        if self.controller.is_idempotent(entry.class) && entry.execution.require_call_again() {
+        let may_call_again =
+            self.controller.is_idempotent(entry.class) && self.calls.require_waiting_run();
+        if may_call_again && entry.execution.require_call_again() {
             info!(
                 request,
                 "request {request}: the reply to its call may be lost, the call is needed again"
--- a/crates/heathspurd/src/event_loop/store_calls.rs
+++ b/crates/heathspurd/src/event_loop/store_calls.rs
@@ -47,6 +47,11 @@
         self.link.set_address(address);
     }
 
+    /// Returns whether a call is carried out only if its run waits for it.
+    pub fn require_waiting_run(&self) -> bool {
+        self.link.requires_waiting_run()
+    }
+
     /// Starts a call with its timeout.
     pub fn start(&mut self, call: CallRequest, now: Time) -> InFlightCall {
         let id = CallId(self.next_call);
--- a/crates/heathspurd/src/peers/store/mod.rs
+++ b/crates/heathspurd/src/peers/store/mod.rs
@@ -124,6 +124,12 @@
         self.address.set(address);
     }
 
+    /// Returns whether a call is carried out only if its run waits for it. The platform's store checks that; the replicas
+    /// between which failover selects know nothing of runs.
+    pub fn requires_waiting_run(&self) -> bool {
+        self.router.is_none()
+    }
+
     /// Starts a call. A [`CallCompleted`] event follows unless the call is abandoned.
     pub fn call(self: &Rc<Self>, call: Call) {
         let id = call.id;
--- a/crates/heathspurd/tests/failover.rs
+++ b/crates/heathspurd/tests/failover.rs
@@ -21,6 +21,19 @@
 /// four cores) the machine's own delays make a replica that answers at once appear slow.
 static TEST_SLOTS: [Mutex<()>; 2] = [Mutex::new(()), Mutex::new(())];
 
+/// Returns the element of the operator's file that enables failover between these replicas, one per zone.
+fn failover_element(replicas: &[StubReplica]) -> String {
+    let replica_elements: String = replicas
+        .iter()
+        .enumerate()
+        .map(|(z, r)| format!("<replica zone=\"z{z}\" address=\"{}\"/>", r.address))
+        .collect();
+    format!(
+        "<failover dwell=\"{} s\" leave=\"500 ms\" back=\"1 s\" check=\"200 ms\">{replica_elements}</failover>",
+        DWELL.as_secs()
+    )
+}
+
 /// The servers, their interpreters and the replicas of all zones.
 struct ZonedFleet {
     fleet: Fleet,
@@ -37,15 +50,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         let replicas: Vec<StubReplica> = (0..ZONES).map(|_| StubReplica::start()).collect();
-        let replica_elements: String = replicas
-            .iter()
-            .enumerate()
-            .map(|(z, r)| format!("<replica zone=\"z{z}\" address=\"{}\"/>", r.address))
-            .collect();
-        let failover = format!(
-            "<failover dwell=\"{} s\" leave=\"500 ms\" back=\"1 s\" check=\"200 ms\">{replica_elements}</failover>",
-            DWELL.as_secs()
-        );
+        let failover = failover_element(&replicas);
         let region = |i| if i % ZONES == 2 { "east" } else { "west" };
         let mut fleet = Fleet::start_with_regions(SERVERS, SETTINGS, region, &failover);
         let options = InterpreterOptions {
@@ -374,3 +379,25 @@
     }
     clients.stop(&zones);
 }
+
+// Guards against a reply to the wrong call: a replica carries out any call, also one for which no run waits any more, so a
+// call whose reply may have been received must not be made again.
+#[test]
+fn run_whose_call_reply_was_lost_fails_without_another_call_to_a_replica() {
+    let replicas: Vec<StubReplica> = (0..ZONES).map(|_| StubReplica::start()).collect();
+    let failover = failover_element(&replicas);
+    let fleet = Fleet::start_with_regions(1, SETTINGS, |_| "west", &failover);
+    let server = fleet.fixture(0);
+    let mut interpreter = server.accept_link();
+    let mut client = server.connect_client();
+    client.send(&request(1, None, b"abc"));
+    let task = interpreter.read_apply().0;
+    interpreter.send_await(&task, b"one");
+    assert_eq!(interpreter.read_command()["verb"], "RESOLVE");
+    drop(interpreter);
+    let mut interpreter = server.accept_link();
+    interpreter.answer_gauge_queries(1);
+    assert_eq!(client.read_response().0, 500);
+    let calls: u64 = replicas.iter().map(StubReplica::completed_calls).sum();
+    assert_eq!(calls, 1);
+}
