Send commands again that the interpreter link never wrote

Cause: the event loop learns of the end of a connection a moment after the link does. What it sent in that moment counted as possibly lost, though the link had dropped it.

Change: commands are numbered over all connections, queries included, so one order serves for both proofs. The link reports the last command of which any part was written; those after it are unsent and go out on the next connection. For that to be a proof, the link accepts commands only for the connection that the event loop has opened: it drops those for an ended one, in place of clearing the queue at the next connect, where a command could have been written on the wrong connection.

Tests: start_counts_as_possibly_lost_only_if_it_was_written and command_that_was_not_written_is_ resent; both name what the code before could not tell apart.

Did not help: a link that is opened by the notice of a connection alone. That notice can be handled after its connection has ended, and four process tests then saw a query before CONNECT.

--- a/crates/heathspurd/src/event_loop/execution.rs
+++ b/crates/heathspurd/src/event_loop/execution.rs
@@ -35,10 +35,10 @@
 /// What is known about the delivery of a run's last command to the interpreter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CommandDelivery {
-    /// The command has not been sent yet, because the link was not up.
+    /// The command has not been written to a connection.
     Unsent,
-    /// The command was sent on the current connection, before the gauge query of this number.
-    CurrentConnection { before_query: u64 },
+    /// The command was sent on the current connection, as the command of this number.
+    CurrentConnection { number: u64 },
     /// The command was sent on a connection that broke at the time `since`. Either the command or the notice that the
     /// run has ended may be lost.
     Uncertain { since: Time },
@@ -225,17 +225,19 @@
         }
     }
 
-    /// Records that the connection broke at the time `now`, after the gauge query `last_answered` was answered. A command
-    /// that the interpreter has received must not be resent: a run that ends before the command arrives would be started
-    /// again, and a run that already waits for its next call would take the reply to the earlier call as the reply to
-    /// that one.
-    pub fn mark_uncertain(&mut self, last_answered: u64, now: Time) {
+    /// Records that the connection broke at the time `now`, after the gauge query `last_answered` was answered and the
+    /// command `last_written` was written. A command that the interpreter has received must not be resent: a run that
+    /// ends before the command arrives would be started again, and a run that already waits for its next call would take
+    /// the reply to the earlier call as the reply to that one.
+    pub fn mark_uncertain(&mut self, last_answered: u64, last_written: u64, now: Time) {
         let ExecutionState::Running { delivery, .. } = self else {
             return;
         };
-        if let CommandDelivery::CurrentConnection { before_query } = *delivery {
-            *delivery = if before_query <= last_answered {
+        if let CommandDelivery::CurrentConnection { number } = *delivery {
+            *delivery = if number < last_answered {
                 CommandDelivery::Confirmed
+            } else if number > last_written {
+                CommandDelivery::Unsent
             } else {
                 CommandDelivery::Uncertain { since: now }
             };
--- a/crates/heathspurd/src/event_loop/interpreter_events.rs
+++ b/crates/heathspurd/src/event_loop/interpreter_events.rs
@@ -16,7 +16,7 @@
             InterpreterEvent::Connected { warmth, uptime_ms } => {
                 self.on_connected(warmth, uptime_ms)
             }
-            InterpreterEvent::Disconnected => self.on_disconnected(),
+            InterpreterEvent::Disconnected { last_written } => self.on_disconnected(last_written),
             InterpreterEvent::Gauges { nonce, readings } => self.on_gauges(nonce, &readings),
             InterpreterEvent::RunEnded {
                 attempt,
--- a/crates/heathspurd/src/event_loop/interpreter_session.rs
+++ b/crates/heathspurd/src/event_loop/interpreter_session.rs
@@ -72,10 +72,11 @@
 /// The state of the interpreter's link and of its gauge queries.
 pub(crate) struct InterpreterSession {
     link: Rc<Link>,
+    /// The number of the link's connection, counted from 1. It advances when the event loop learns of the connection's end.
+    connection: u64,
     state: LinkState,
-    next_query: u64,
-    /// The last query that was answered. The interpreter answers queries in order, after it has processed all commands
-    /// sent before them.
+    /// The number of the last query that was answered. The interpreter answers queries in order, after it has processed
+    /// all commands sent before them.
     last_answered: u64,
     /// When the next run is settled whose last command may be lost and must not be sent twice.
     undecided_deadline: Option<Time>,
@@ -86,8 +87,8 @@
     pub fn new(link: Rc<Link>) -> InterpreterSession {
         InterpreterSession {
             link,
+            connection: 1,
             state: LinkState::Down,
-            next_query: 1,
             last_answered: 0,
             undecided_deadline: None,
         }
@@ -103,10 +104,9 @@
         self.link.send(command);
     }
 
-    /// Sends a gauge query and returns its number.
+    /// Sends a gauge query and returns its number, which is that of the command.
     pub fn query_gauges(&mut self) -> u64 {
-        let query = self.next_query;
-        self.next_query += 1;
+        let query = self.link.next_command();
         self.link.send(Command::QueryGauges(query));
         query
     }
@@ -117,12 +117,13 @@
             return CommandDelivery::Unsent;
         }
         CommandDelivery::CurrentConnection {
-            before_query: self.next_query,
+            number: self.link.next_command(),
         }
     }
 
     /// Starts the resumption on a new connection: sends a gauge query, whose answer follows all missed notices.
     pub fn begin_resume(&mut self, now: Time) {
+        self.link.open(self.connection);
         let query = self.query_gauges();
         self.state = LinkState::Resuming {
             query,
@@ -253,13 +254,14 @@
 
     /// Marks the link as down.
     pub fn disconnect(&mut self) {
+        self.connection += 1;
         self.state = LinkState::Down;
         self.undecided_deadline = None;
     }
 
     /// Records the answer to a gauge query. Answers to queries that were never sent are ignored.
     pub fn record_answer(&mut self, query: u64) {
-        if query < self.next_query {
+        if query < self.link.next_command() {
             self.last_answered = self.last_answered.max(query);
         }
     }
--- a/crates/heathspurd/src/event_loop/reconnection.rs
+++ b/crates/heathspurd/src/event_loop/reconnection.rs
@@ -19,23 +19,26 @@
         self.interpreter.begin_resume(self.now);
     }
 
-    /// Handles the loss of the connection: commands may be lost, and pending gauge queries will not be answered.
-    pub(super) fn on_disconnected(&mut self) {
+    /// Handles the loss of the connection, on which the command `last_written` was the last to be written: commands may be
+    /// lost, and pending gauge queries will not be answered.
+    pub(super) fn on_disconnected(&mut self, last_written: u64) {
         if let Some(address) = self.interpreter.next_address() {
             self.peer_addresses.interpreter.set(address);
         }
         self.interpreter.disconnect();
-        self.classify_sent_commands();
+        self.classify_sent_commands(last_written);
         for token in self.timers.drain_awaiting_gauges() {
             self.controller.push(timer_without_gauges(token));
         }
     }
 
-    /// Records which of the commands sent on the current connection the interpreter has received for certain.
-    fn classify_sent_commands(&mut self) {
+    /// Records which of the commands sent on the current connection the interpreter has received for certain, and which
+    /// were not written.
+    fn classify_sent_commands(&mut self, last_written: u64) {
         let last_answered = self.interpreter.last_answered();
-        self.table
-            .for_each_execution(|execution| execution.mark_uncertain(last_answered, self.now));
+        self.table.for_each_execution(|execution| {
+            execution.mark_uncertain(last_answered, last_written, self.now);
+        });
     }
 
     /// Moves the link to the interpreter's new address once the interpreter has received all commands that were sent on
@@ -54,7 +57,8 @@
     /// became due during the wait are sent, stops among them.
     pub(super) fn on_flushed(&mut self) {
         if !self.move_link() {
-            self.classify_sent_commands();
+            // The flush was the last command to be sent.
+            self.classify_sent_commands(self.interpreter.last_answered());
             self.finish_resume();
         }
     }
--- a/crates/heathspurd/src/peers/interpreter/mod.rs
+++ b/crates/heathspurd/src/peers/interpreter/mod.rs
@@ -20,7 +20,7 @@
 use heathspur_wire::interpreter::{self as wire, Command, RejectedCommand, RunOutcome, Warmth};
 use notice_sequence::NoticeSequence;
 use notices::read_notices;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -64,8 +64,8 @@
     },
     /// Notices were missed, and the interpreter no longer retains them.
     NoticesLost,
-    /// The connection has ended.
-    Disconnected,
+    /// The connection has ended. No part of the commands after the one with the number `last_written` was written.
+    Disconnected { last_written: u64 },
 }
 
 /// The reason why a connection to the interpreter ended.
@@ -89,34 +89,76 @@
     EventLoopEnded,
 }
 
-/// The event loop's end of the link: a queue of encoded commands, which the connection's task writes.
+/// The event loop's end of the link: a queue of encoded commands, which the connection's task writes. Commands are
+/// numbered consecutively over all connections, those included that are dropped because their connection has ended.
 pub(crate) struct Link {
     queued_commands: RefCell<Vec<u8>>,
     command_queued: Notify,
+    /// The number of connections that have begun.
+    connections: Cell<u64>,
+    /// Whether the last of them has not ended.
+    is_connected: Cell<bool>,
+    /// The number of the connection for which the event loop sends commands. It learns of the end of a connection later
+    /// than the link, and what it sends until then must not be written on the next connection.
+    open_connection: Cell<u64>,
+    /// The number of the next command.
+    next_command: Cell<u64>,
+    /// The number of the last command of which any part may have been written.
+    last_written: Cell<u64>,
 }
 
 impl Link {
-    /// Creates a link without queued commands.
+    /// Creates a link without a connection.
     pub fn new() -> Rc<Link> {
         Rc::new(Link {
             queued_commands: RefCell::new(Vec::new()),
             command_queued: Notify::new(),
+            connections: Cell::new(0),
+            is_connected: Cell::new(false),
+            open_connection: Cell::new(0),
+            next_command: Cell::new(1),
+            last_written: Cell::new(0),
         })
     }
 
-    /// Queues a command. It is lost if the connection ends before the command is written, or if there is none.
+    /// Accepts commands for the connection with this number, counted from 1, until it ends.
+    pub fn open(&self, connection: u64) {
+        self.open_connection.set(connection);
+    }
+
+    /// Returns whether the connection for which the event loop sends commands is the current one.
+    fn is_open(&self) -> bool {
+        self.is_connected.get() && self.open_connection.get() == self.connections.get()
+    }
+
+    /// Returns the number of the next command.
+    pub fn next_command(&self) -> u64 {
+        self.next_command.get()
+    }
+
+    /// Queues a command. It is dropped if its connection has ended, and lost if the connection ends before it is written.
     pub fn send(&self, command: Command<'_>) {
+        self.next_command.set(self.next_command.get() + 1);
+        if !self.is_open() {
+            return;
+        }
         wire::write_command(&mut self.queued_commands.borrow_mut(), command);
         self.command_queued.notify();
     }
 
-    /// Drops the commands that were queued for an earlier connection, and queues the command that asks for all notices
-    /// after `last_notice`.
-    fn reset_queue(&self, last_notice: u64) {
+    /// Begins a connection: queues the command that asks for all notices after `last_notice`.
+    fn begin_connection(&self, last_notice: u64) {
+        self.connections.set(self.connections.get() + 1);
+        self.is_connected.set(true);
         let mut queued = self.queued_commands.borrow_mut();
-        queued.clear();
         wire::write_command(&mut queued, Command::Connect(last_notice));
     }
+
+    /// Ends the connection: drops the commands that were not written, and accepts no more.
+    fn end_connection(&self) {
+        self.is_connected.set(false);
+        self.queued_commands.borrow_mut().clear();
+    }
 }
 
 /// Keeps the link connected until the event loop ends. Reconnects when the interpreter's address changes.
@@ -142,7 +184,7 @@
                     address,
                 )
                 .await;
-                link.queued_commands.borrow_mut().clear();
+                link.end_connection();
                 let last = sequence.last();
                 warn!(
                     last,
@@ -152,8 +194,9 @@
                 if last > last_before {
                     delay = MIN_RECONNECT_DELAY;
                 }
-                let disconnected = InterpreterEvent::Disconnected.into();
-                if events.send(disconnected).await.is_err() {
+                let last_written = link.last_written.get();
+                let disconnected = InterpreterEvent::Disconnected { last_written };
+                if events.send(disconnected.into()).await.is_err() {
                     return;
                 }
             }
@@ -204,7 +247,7 @@
     address: SocketAddr,
 ) -> LinkError {
     sequence.begin_connection();
-    link.reset_queue(sequence.last());
+    link.begin_connection(sequence.last());
     let exchange = future::or(
         read_notices(stream, events, sequence),
         write_commands(stream, link),
@@ -229,6 +272,7 @@
     let mut commands = Vec::new();
     loop {
         std::mem::swap(&mut commands, &mut *link.queued_commands.borrow_mut());
+        let last_taken = link.next_command.get() - 1;
         if commands.len() > MAX_QUEUED_COMMAND_BYTES {
             return Err(LinkError::CommandBacklog(commands.len()));
         }
@@ -236,7 +280,10 @@
             link.command_queued.notified().await;
             continue;
         }
-        stream.write_all(&commands).await?;
+        // If the first write fails, no part of these commands was written.
+        let written = stream.write(&commands).await?;
+        link.last_written.set(last_taken);
+        stream.write_all(&commands[written..]).await?;
         commands.clear();
     }
 }
--- a/crates/heathspurd/tests/unit/execution.rs
+++ b/crates/heathspurd/tests/unit/execution.rs
@@ -2,8 +2,10 @@
 
 use super::*;
 
-/// The delivery of a command that was sent on the current connection before gauge query 5.
-const BEFORE_QUERY_5: CommandDelivery = CommandDelivery::CurrentConnection { before_query: 5 };
+/// The delivery of a command that was sent on the current connection as command 4, before gauge query 5.
+const BEFORE_QUERY_5: CommandDelivery = CommandDelivery::CurrentConnection { number: 4 };
+/// The last command that was written on that connection.
+const LAST_WRITTEN: u64 = 5;
 
 /// When a connection breaks in these tests.
 const BREAK: Time = Time(50);
@@ -150,13 +152,13 @@
     for sent in every_last_command() {
         // The connections broke after the answer to query 4, and after that to query 5.
         let (mut unconfirmed, mut confirmed) = (sent.clone(), sent);
-        unconfirmed.mark_uncertain(4, BREAK);
-        confirmed.mark_uncertain(5, BREAK);
+        unconfirmed.mark_uncertain(4, LAST_WRITTEN, BREAK);
+        confirmed.mark_uncertain(5, LAST_WRITTEN, BREAK);
         assert_eq!(unconfirmed.delivery(), Some(UNCERTAIN));
         assert_eq!(confirmed.delivery(), Some(CommandDelivery::Confirmed));
         // A confirmed command remains confirmed on all later connections.
         confirmed.mark_resent(BEFORE_QUERY_5, true);
-        confirmed.mark_uncertain(0, BREAK);
+        confirmed.mark_uncertain(0, LAST_WRITTEN, BREAK);
         assert_eq!(confirmed.delivery(), Some(CommandDelivery::Confirmed));
     }
 }
@@ -166,7 +168,7 @@
 fn uncertain_command_is_resent_only_if_it_may_arrive_twice() {
     let resent = |is_idempotent| {
         every_last_command().map(|mut execution| {
-            execution.mark_uncertain(4, BREAK);
+            execution.mark_uncertain(4, LAST_WRITTEN, BREAK);
             let undecided_since = execution.undecided_since(is_idempotent);
             execution.mark_resent(BEFORE_QUERY_5, is_idempotent);
             let is_resent = execution.delivery() == Some(BEFORE_QUERY_5);
@@ -179,12 +181,26 @@
     assert_eq!(resent(false), [false, true, false, true]);
 }
 
+// Guards against a request that fails although its command never left the server.
+#[test]
+fn command_that_was_not_written_is_resent() {
+    for is_idempotent in [false, true] {
+        for mut execution in every_last_command() {
+            execution.mark_uncertain(2, 3, BREAK);
+            assert_eq!(execution.delivery(), Some(CommandDelivery::Unsent));
+            assert_eq!(execution.undecided_since(is_idempotent), None);
+            execution.mark_resent(BEFORE_QUERY_5, is_idempotent);
+            assert_eq!(execution.delivery(), Some(BEFORE_QUERY_5));
+        }
+    }
+}
+
 #[test]
 fn undecided_command_stays_so_over_later_breaks_until_a_notice() {
     let mut execution = running();
-    execution.mark_uncertain(4, BREAK);
+    execution.mark_uncertain(4, LAST_WRITTEN, BREAK);
     execution.mark_resent(BEFORE_QUERY_5, false);
-    execution.mark_uncertain(5, Time(60));
+    execution.mark_uncertain(5, LAST_WRITTEN, Time(60));
     assert_eq!(execution.undecided_since(false), Some(BREAK));
     assert_eq!(execution.require_call(call(1)), CallRequirement::New);
     assert_eq!(execution.undecided_since(false), None);
@@ -207,12 +223,12 @@
     let mut started = running();
     started.mark_start_uncertain(BREAK);
     assert_eq!(started.delivery(), Some(BEFORE_QUERY_5));
-    started.mark_uncertain(5, Time(45));
+    started.mark_uncertain(5, LAST_WRITTEN, Time(45));
     started.mark_start_uncertain(BREAK);
     assert_eq!(started.delivery(), Some(UNCERTAIN));
 
     let mut skipped = resumed_with(LastCommand::SkipCall(1));
-    skipped.mark_uncertain(5, Time(45));
+    skipped.mark_uncertain(5, LAST_WRITTEN, Time(45));
     skipped.mark_start_uncertain(BREAK);
     assert_eq!(skipped.delivery(), Some(CommandDelivery::Confirmed));
 }
@@ -224,7 +240,7 @@
     };
     let mut uncertain = running();
     assert!(!lost(&uncertain, false, true));
-    uncertain.mark_uncertain(0, BREAK);
+    uncertain.mark_uncertain(0, LAST_WRITTEN, BREAK);
     assert!(lost(&uncertain, false, true));
     assert!(
         !lost(&uncertain, true, true),
--- a/crates/heathspurd/tests/unit/interpreter_events.rs
+++ b/crates/heathspurd/tests/unit/interpreter_events.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 use crate::config::Config;
-use crate::event_loop::execution::{ExecutionState, LastCommand};
+use crate::event_loop::execution::{CommandDelivery, ExecutionState, LastCommand};
 use crate::event_loop::{EventLoopParts, PeerAddresses};
 use crate::frontend::connection_pool::ConnectionPool;
 use crate::frontend::{FrontendContext, IncomingRequest};
@@ -56,19 +56,21 @@
 }
 
 const ID: RequestId = RequestId(1);
+/// The class of the configuration whose requests must not run twice.
+const KEYED_CLASS: ClassId = ClassId(1);
 
 fn attempt() -> AttemptId {
     AttemptId::parse(b"9b1f03aa5c7e2d41").unwrap()
 }
 
-/// Returns an event loop with a run whose stop was requested just before the notice that it needs a call arrived.
-fn stop_crossing_a_call() -> (EventLoop, Receiver<Answer>) {
+/// Returns an event loop with a run of this class that was just started, and the number of the command that started it.
+fn started_run(class: ClassId) -> (EventLoop, Receiver<Answer>, u64) {
     let mut event_loop = event_loop();
     let (reply, answers) = async_channel::bounded(1);
     let request = IncomingRequest {
         id: ID,
         attempt: attempt(),
-        class: ClassId(0),
+        class,
         tenant: None,
         received_unix_micros: 0,
         idempotency_key: None,
@@ -82,6 +84,19 @@
     };
     event_loop.table.insert(request, None);
     event_loop.start_run(ID);
+    let Some(CommandDelivery::CurrentConnection { number }) = delivery(&event_loop) else {
+        panic!("the start was not sent");
+    };
+    (event_loop, answers, number)
+}
+
+fn delivery(event_loop: &EventLoop) -> Option<CommandDelivery> {
+    event_loop.table.get(ID)?.execution.delivery()
+}
+
+/// Returns an event loop with a run whose stop was requested just before the notice that it needs a call arrived.
+fn stop_crossing_a_call() -> (EventLoop, Receiver<Answer>) {
+    let (mut event_loop, answers, _) = started_run(ClassId(0));
     event_loop.stop_run(ID);
     event_loop.on_interpreter_event(InterpreterEvent::CallNeeded {
         attempt: attempt(),
@@ -128,3 +143,22 @@
         "{execution:?}"
     );
 }
+
+// Guards against a request that fails although its start never left the server: the link broke before it was written.
+#[test]
+fn start_counts_as_possibly_lost_only_if_it_was_written() {
+    for was_written in [false, true] {
+        let (mut event_loop, _answers, number) = started_run(KEYED_CLASS);
+        let last_written = if was_written { number } else { number - 1 };
+        event_loop.on_interpreter_event(InterpreterEvent::Disconnected { last_written });
+        let is_unsent = delivery(&event_loop) == Some(CommandDelivery::Unsent);
+        assert_eq!(is_unsent, !was_written);
+        event_loop.interpreter.begin_resume(Time(1));
+        event_loop.finish_resume();
+        let is_sent = matches!(
+            delivery(&event_loop),
+            Some(CommandDelivery::CurrentConnection { .. })
+        );
+        assert_eq!(is_sent, !was_written);
+    }
+}
--- a/crates/heathspurd/tests/unit/interpreter_session.rs
+++ b/crates/heathspurd/tests/unit/interpreter_session.rs
@@ -4,7 +4,7 @@
 
 const EVERY_DELIVERY: [CommandDelivery; 4] = [
     CommandDelivery::Unsent,
-    CommandDelivery::CurrentConnection { before_query: 1 },
+    CommandDelivery::CurrentConnection { number: 1 },
     CommandDelivery::Uncertain { since: Time(1) },
     CommandDelivery::Confirmed,
 ];
@@ -57,7 +57,7 @@
     session.finish_resume();
     assert_eq!(
         session.delivery(),
-        CommandDelivery::CurrentConnection { before_query: 4 }
+        CommandDelivery::CurrentConnection { number: 4 }
     );
 }
 
