Give the interpreter link's command queue a file and unit tests of its own

peers/interpreter/mod.rs had two jobs: the connection's task and the queue between it and the event loop. Whether a command counts as unwritten rests on that queue, and no unit test looked at it.

Link moves to link.rs behind methods in place of shared cells. Two tests: commands for an ended connection are never written, also when its handshake is handled late (fails without the comparison of connection numbers), and commands count as written only once marked.

--- a/crates/heathspurd/src/peers/interpreter/mod.rs
+++ b/crates/heathspurd/src/peers/interpreter/mod.rs
@@ -4,11 +4,13 @@
 //! [`run`] owns the connection and its reconnect backoff. The event loop queues commands on the [`Link`] and receives
 //! [`InterpreterEvent`]s; it never waits for the connection.
 
+mod link;
 mod notice_sequence;
 mod notices;
 
+pub(crate) use link::Link;
+
 use crate::frontend::AttemptId;
-use crate::notify::Notify;
 use crate::peers::connection::{connect, PeerAddress};
 use crate::recording::recorded_stream::Stream;
 use crate::recording::RecorderHandle;
@@ -17,10 +19,9 @@
 use bytes::Bytes;
 use futures_lite::{future, AsyncWriteExt};
 use heathspur_record::recorder::Leg;
-use heathspur_wire::interpreter::{self as wire, Command, RejectedCommand, RunOutcome, Warmth};
+use heathspur_wire::interpreter::{self as wire, RejectedCommand, RunOutcome, Warmth};
 use notice_sequence::NoticeSequence;
 use notices::read_notices;
-use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -89,78 +90,6 @@
     EventLoopEnded,
 }
 
-/// The event loop's end of the link: a queue of encoded commands, which the connection's task writes. Commands are
-/// numbered consecutively over all connections, those included that are dropped because their connection has ended.
-pub(crate) struct Link {
-    queued_commands: RefCell<Vec<u8>>,
-    command_queued: Notify,
-    /// The number of connections that have begun.
-    connections: Cell<u64>,
-    /// Whether the last of them has not ended.
-    is_connected: Cell<bool>,
-    /// The number of the connection for which the event loop sends commands. It learns of the end of a connection later
-    /// than the link, and what it sends until then must not be written on the next connection.
-    open_connection: Cell<u64>,
-    /// The number of the next command.
-    next_command: Cell<u64>,
-    /// The number of the last command of which any part may have been written.
-    last_written: Cell<u64>,
-}
-
-impl Link {
-    /// Creates a link without a connection.
-    pub fn new() -> Rc<Link> {
-        Rc::new(Link {
-            queued_commands: RefCell::new(Vec::new()),
-            command_queued: Notify::new(),
-            connections: Cell::new(0),
-            is_connected: Cell::new(false),
-            open_connection: Cell::new(0),
-            next_command: Cell::new(1),
-            last_written: Cell::new(0),
-        })
-    }
-
-    /// Accepts commands for the connection with this number, counted from 1, until it ends.
-    pub fn open(&self, connection: u64) {
-        self.open_connection.set(connection);
-    }
-
-    /// Returns whether the connection for which the event loop sends commands is the current one.
-    fn is_open(&self) -> bool {
-        self.is_connected.get() && self.open_connection.get() == self.connections.get()
-    }
-
-    /// Returns the number of the next command.
-    pub fn next_command(&self) -> u64 {
-        self.next_command.get()
-    }
-
-    /// Queues a command. It is dropped if its connection has ended, and lost if the connection ends before it is written.
-    pub fn send(&self, command: Command<'_>) {
-        self.next_command.set(self.next_command.get() + 1);
-        if !self.is_open() {
-            return;
-        }
-        wire::write_command(&mut self.queued_commands.borrow_mut(), command);
-        self.command_queued.notify();
-    }
-
-    /// Begins a connection: queues the command that asks for all notices after `last_notice`.
-    fn begin_connection(&self, last_notice: u64) {
-        self.connections.set(self.connections.get() + 1);
-        self.is_connected.set(true);
-        let mut queued = self.queued_commands.borrow_mut();
-        wire::write_command(&mut queued, Command::Connect(last_notice));
-    }
-
-    /// Ends the connection: drops the commands that were not written, and accepts no more.
-    fn end_connection(&self) {
-        self.is_connected.set(false);
-        self.queued_commands.borrow_mut().clear();
-    }
-}
-
 /// Keeps the link connected until the event loop ends. Reconnects when the interpreter's address changes.
 pub(crate) async fn run<N: From<InterpreterEvent>>(
     peer_address: Rc<PeerAddress>,
@@ -194,7 +123,7 @@
                 if last > last_before {
                     delay = MIN_RECONNECT_DELAY;
                 }
-                let last_written = link.last_written.get();
+                let last_written = link.last_written();
                 let disconnected = InterpreterEvent::Disconnected { last_written };
                 if events.send(disconnected.into()).await.is_err() {
                     return;
@@ -271,18 +200,17 @@
 async fn try_write_commands(mut stream: &Stream, link: &Link) -> Result<Infallible, LinkError> {
     let mut commands = Vec::new();
     loop {
-        std::mem::swap(&mut commands, &mut *link.queued_commands.borrow_mut());
-        let last_taken = link.next_command.get() - 1;
+        let last_command = link.take_queued(&mut commands);
         if commands.len() > MAX_QUEUED_COMMAND_BYTES {
             return Err(LinkError::CommandBacklog(commands.len()));
         }
         if commands.is_empty() {
-            link.command_queued.notified().await;
+            link.command_queued().await;
             continue;
         }
         // If the first write fails, no part of these commands was written.
         let written = stream.write(&commands).await?;
-        link.last_written.set(last_taken);
+        link.mark_written(last_command);
         stream.write_all(&commands[written..]).await?;
         commands.clear();
     }
