Name runs in doubt after the field's term, and type the evidence of a delivery

`mark_uncertain` had come to record three outcomes and took two numbers of the same type that could be swapped: it is `classify_delivery` and takes a `DeliveryEvidence`. "Undecided" and "settle" beside "uncertain" needed explaining: a run is in doubt, as in a commit protocol, and is resolved. The comment of `require_call` gave a reason that no longer exists (the server repeats no reply). The three deadlines of the link are asked for in the same way, and the check for a waiting run has one name in both places.

--- a/crates/heathspurd/src/event_loop/deadlines.rs
+++ b/crates/heathspurd/src/event_loop/deadlines.rs
@@ -1,4 +1,4 @@
-//! The deadlines of the event loop: timers, call timeouts, the drain, the link's resumption and pruning.
+//! The deadlines of the event loop: timers, call timeouts, the drain, the interpreter's link and pruning.
 
 use crate::clock;
 use crate::event_loop::EventLoop;
@@ -36,18 +36,14 @@
         while let Some(id) = self.calls.pop_timed_out(self.now) {
             self.on_call_timed_out(id);
         }
-        if self
-            .interpreter
-            .resume_deadline()
-            .is_some_and(|deadline| deadline <= self.now)
-        {
+        if self.interpreter.is_resume_deadline_due(self.now) {
             self.on_resume_timed_out();
         }
         if self.interpreter.is_flush_deadline_due(self.now) {
             self.on_flush_timed_out();
         }
-        if self.interpreter.is_undecided_deadline_due(self.now) {
-            self.settle_undecided_runs();
+        if self.interpreter.is_in_doubt_deadline_due(self.now) {
+            self.resolve_in_doubt_runs();
         }
         if self.next_prune <= self.now {
             self.next_prune = self.now + PRUNE_INTERVAL;
--- a/crates/heathspurd/src/event_loop/execution.rs
+++ b/crates/heathspurd/src/event_loop/execution.rs
@@ -47,6 +47,16 @@
     Confirmed,
 }
 
+/// What is known about the commands of a connection when it breaks. Commands and gauge queries are numbered together, in
+/// the order in which they were sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct DeliveryEvidence {
+    /// The number of the last gauge query that was answered. The interpreter has received all commands before it.
+    pub last_answered_query: u64,
+    /// The number of the last command of which any part may have been written.
+    pub last_written: u64,
+}
+
 /// A dependency call that a run needs.
 #[derive(Clone, Debug)]
 pub(crate) struct PendingCall {
@@ -139,9 +149,9 @@
         true
     }
 
-    /// Records that the run needs a call. If the run already waited for one, the interpreter has received a repeated
-    /// reply to an earlier call and used it as the reply to this one. The new call therefore replaces the pending one;
-    /// otherwise each later call would receive the reply to the call before it.
+    /// Records that the run needs a call. If the run already waited for one, it has received the reply to that call after
+    /// all, although the reply counted as possibly lost and the call was to be made again. The new call therefore
+    /// replaces the pending one, whose reply would otherwise answer it.
     pub fn require_call(&mut self, call: PendingCall) -> CallRequirement {
         let (run, requirement) = match self {
             ExecutionState::Running { run, .. } => (*run, CallRequirement::New),
@@ -225,18 +235,18 @@
         }
     }
 
-    /// Records that the connection broke at the time `now`, after the gauge query `last_answered` was answered and the
-    /// command `last_written` was written. A command that the interpreter has received must not be resent: a run that
-    /// ends before the command arrives would be started again, and a run that already waits for its next call would take
-    /// the reply to the earlier call as the reply to that one.
-    pub fn mark_uncertain(&mut self, last_answered: u64, last_written: u64, now: Time) {
+    /// Records what is known about the delivery of the last command when its connection breaks at the time `now`. A
+    /// command that the interpreter has received must not be resent: a run that ends before the command arrives would be
+    /// started again, and a run that already waits for its next call would take the reply to the earlier call as the
+    /// reply to that one.
+    pub fn classify_delivery(&mut self, evidence: DeliveryEvidence, now: Time) {
         let ExecutionState::Running { delivery, .. } = self else {
             return;
         };
         if let CommandDelivery::CurrentConnection { number } = *delivery {
-            *delivery = if number < last_answered {
+            *delivery = if number < evidence.last_answered_query {
                 CommandDelivery::Confirmed
-            } else if number > last_written {
+            } else if number > evidence.last_written {
                 CommandDelivery::Unsent
             } else {
                 CommandDelivery::Uncertain { since: now }
@@ -278,9 +288,9 @@
         }
     }
 
-    /// Returns since when it is unknown whether the interpreter has received the last command, if that command must not
-    /// be sent twice.
-    pub fn undecided_since(&self, is_idempotent: bool) -> Option<Time> {
+    /// Returns since when the run is in doubt: it is unknown whether the interpreter has received the last command, and
+    /// that command must not be sent twice. Returns `None` if the run is not in doubt.
+    pub fn in_doubt_since(&self, is_idempotent: bool) -> Option<Time> {
         match self {
             ExecutionState::Running {
                 last_command,
--- a/crates/heathspurd/src/event_loop/interpreter_session.rs
+++ b/crates/heathspurd/src/event_loop/interpreter_session.rs
@@ -1,5 +1,5 @@
 //! The event loop's state of the interpreter's link: whether commands can be sent, which gauge queries were answered,
-//! and which commands must be resent after a reconnection.
+//! which commands must be resent after a reconnection, and the move to a new address.
 
 use crate::event_loop::execution::CommandDelivery;
 use crate::peers::interpreter::Link;
@@ -12,9 +12,9 @@
 const RESUME_TIMEOUT: Span = Span(1_000_000);
 /// The longest wait until the interpreter has received the commands sent on a connection that is to be replaced (1 s).
 const FLUSH_TIMEOUT: Span = Span(1_000_000);
-/// How long a run has to send a notice, counted from the break of the connection, if it is unknown whether the
-/// interpreter has received the run's last command and the command must not be sent twice (1 s).
-const UNDECIDED_TIMEOUT: Span = Span(1_000_000);
+/// How long a run may be in doubt, counted from the break of the connection (1 s). See
+/// [`in_doubt_since`](super::execution::ExecutionState::in_doubt_since).
+const IN_DOUBT_TIMEOUT: Span = Span(1_000_000);
 
 /// The state of the link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,8 +78,8 @@
     /// The number of the last query that was answered. The interpreter answers queries in order, after it has processed
     /// all commands sent before them.
     last_answered: u64,
-    /// When the next run is settled whose last command may be lost and must not be sent twice.
-    undecided_deadline: Option<Time>,
+    /// When the next run that is in doubt is resolved.
+    in_doubt_deadline: Option<Time>,
 }
 
 impl InterpreterSession {
@@ -90,7 +90,7 @@
             connection: 1,
             state: LinkState::Down,
             last_answered: 0,
-            undecided_deadline: None,
+            in_doubt_deadline: None,
         }
     }
 
@@ -154,19 +154,25 @@
         let deadlines = [
             self.resume_deadline(),
             self.flush_deadline(),
-            self.undecided_deadline,
+            self.in_doubt_deadline,
         ];
         deadlines.into_iter().flatten().min()
     }
 
     /// Returns when the wait for missed notices times out.
-    pub fn resume_deadline(&self) -> Option<Time> {
+    fn resume_deadline(&self) -> Option<Time> {
         match self.state {
             LinkState::Resuming { deadline, .. } => Some(deadline),
             _ => None,
         }
     }
 
+    /// Returns whether the wait for missed notices has timed out.
+    pub fn is_resume_deadline_due(&self, now: Time) -> bool {
+        self.resume_deadline()
+            .is_some_and(|deadline| deadline <= now)
+    }
+
     /// Prepares the move to a new address. If commands may have been sent on the current connection, sends a gauge query,
     /// whose answer shows that the interpreter has received them. Returns whether the link must not move yet.
     pub fn begin_flush(&mut self, address: SocketAddr, now: Time) -> bool {
@@ -236,19 +242,19 @@
         Resend::OnlyUnsent
     }
 
-    /// Returns when a run is settled whose last command has been undecided since the time `since`.
-    pub fn undecided_deadline_of(since: Time) -> Time {
-        since + UNDECIDED_TIMEOUT
+    /// Returns when a run is resolved that has been in doubt since the time `since`.
+    pub fn in_doubt_deadline(since: Time) -> Time {
+        since + IN_DOUBT_TIMEOUT
     }
 
-    /// Sets when the next run is settled whose last command is undecided.
-    pub fn set_undecided_deadline(&mut self, deadline: Option<Time>) {
-        self.undecided_deadline = deadline;
+    /// Sets when the next run that is in doubt is resolved.
+    pub fn set_in_doubt_deadline(&mut self, deadline: Option<Time>) {
+        self.in_doubt_deadline = deadline;
     }
 
-    /// Returns whether a run whose last command is undecided is to be settled by now.
-    pub fn is_undecided_deadline_due(&self, now: Time) -> bool {
-        self.undecided_deadline
+    /// Returns whether a run that is in doubt is to be resolved by now.
+    pub fn is_in_doubt_deadline_due(&self, now: Time) -> bool {
+        self.in_doubt_deadline
             .is_some_and(|deadline| deadline <= now)
     }
 
@@ -256,7 +262,7 @@
     pub fn disconnect(&mut self) {
         self.connection += 1;
         self.state = LinkState::Down;
-        self.undecided_deadline = None;
+        self.in_doubt_deadline = None;
     }
 
     /// Records the answer to a gauge query. Answers to queries that were never sent are ignored.
--- a/crates/heathspurd/src/event_loop/reconnection.rs
+++ b/crates/heathspurd/src/event_loop/reconnection.rs
@@ -2,6 +2,7 @@
 //! the missed notices have arrived, and what becomes of runs whose last command may be lost.
 
 use crate::event_loop::deadlines::timer_without_gauges;
+use crate::event_loop::execution::DeliveryEvidence;
 use crate::event_loop::interpreter_session::{InterpreterSession, Resend};
 use crate::event_loop::request_table::Entry;
 use crate::event_loop::EventLoop;
@@ -26,7 +27,7 @@
             self.peer_addresses.interpreter.set(address);
         }
         self.interpreter.disconnect();
-        self.classify_sent_commands(last_written);
+        self.classify_deliveries(last_written);
         for token in self.timers.drain_awaiting_gauges() {
             self.controller.push(timer_without_gauges(token));
         }
@@ -34,11 +35,13 @@
 
     /// Records which of the commands sent on the current connection the interpreter has received for certain, and which
     /// were not written.
-    fn classify_sent_commands(&mut self, last_written: u64) {
-        let last_answered = self.interpreter.last_answered();
-        self.table.for_each_execution(|execution| {
-            execution.mark_uncertain(last_answered, last_written, self.now);
-        });
+    fn classify_deliveries(&mut self, last_written: u64) {
+        let evidence = DeliveryEvidence {
+            last_answered_query: self.interpreter.last_answered(),
+            last_written,
+        };
+        self.table
+            .for_each_execution(|execution| execution.classify_delivery(evidence, self.now));
     }
 
     /// Moves the link to the interpreter's new address once the interpreter has received all commands that were sent on
@@ -57,8 +60,8 @@
     /// became due during the wait are sent, stops among them.
     pub(super) fn on_flushed(&mut self) {
         if !self.move_link() {
-            // The flush was the last command to be sent.
-            self.classify_sent_commands(self.interpreter.last_answered());
+            // The query of the flush was the last command to be sent.
+            self.classify_deliveries(self.interpreter.last_answered());
             self.finish_resume();
         }
     }
@@ -86,7 +89,7 @@
     pub(super) fn finish_resume(&mut self) {
         let resend = self.interpreter.finish_resume();
         self.resend_matching(resend);
-        self.settle_undecided_runs();
+        self.resolve_in_doubt_runs();
     }
 
     /// Handles the timeout of the wait for missed notices.
@@ -111,35 +114,34 @@
         }
     }
 
-    /// Settles the runs of which it is unknown whether the interpreter has received the last command, and whose command
-    /// must not be sent twice. If the interpreter has received it, a notice of the run follows, so a run is settled only
-    /// if none has arrived until its deadline.
-    pub(super) fn settle_undecided_runs(&mut self) {
+    /// Resolves the runs that are in doubt at their deadline: it is unknown whether the interpreter has received the last
+    /// command, which must not be sent twice. Had it been received, a notice of the run would have been expected by then.
+    pub(super) fn resolve_in_doubt_runs(&mut self) {
         let deadline_of = |entry: &Entry| {
             let is_idempotent = self.controller.is_idempotent(entry.class);
-            let since = entry.execution.undecided_since(is_idempotent)?;
-            Some(InterpreterSession::undecided_deadline_of(since))
+            let since = entry.execution.in_doubt_since(is_idempotent)?;
+            Some(InterpreterSession::in_doubt_deadline(since))
         };
         let is_due = |entry: &Entry| deadline_of(entry).is_some_and(|at| at <= self.now);
         let due = self.table.find(is_due);
         let next_deadline = self
             .table
             .min_of(|entry| deadline_of(entry).filter(|at| *at > self.now));
-        self.interpreter.set_undecided_deadline(next_deadline);
+        self.interpreter.set_in_doubt_deadline(next_deadline);
         for id in due {
-            self.settle_undecided_run(id);
+            self.resolve_in_doubt_run(id);
         }
     }
 
     /// Lets an idempotent run make its call again if the store carries out a call only while the run waits for it: the
     /// new reply then belongs to that call. Any other run counts as failed.
-    fn settle_undecided_run(&mut self, id: RequestId) {
+    fn resolve_in_doubt_run(&mut self, id: RequestId) {
         let Some(entry) = self.table.get_mut(id) else {
             return;
         };
         let request = entry.attempt.as_str();
         let may_call_again =
-            self.controller.is_idempotent(entry.class) && self.calls.require_waiting_run();
+            self.controller.is_idempotent(entry.class) && self.calls.requires_waiting_run();
         if may_call_again && entry.execution.require_call_again() {
             info!(
                 request,
--- a/crates/heathspurd/src/event_loop/store_calls.rs
+++ b/crates/heathspurd/src/event_loop/store_calls.rs
@@ -48,7 +48,7 @@
     }
 
     /// Returns whether a call is carried out only if its run waits for it.
-    pub fn require_waiting_run(&self) -> bool {
+    pub fn requires_waiting_run(&self) -> bool {
         self.link.requires_waiting_run()
     }
 
--- a/crates/heathspurd/tests/unit/execution.rs
+++ b/crates/heathspurd/tests/unit/execution.rs
@@ -4,8 +4,14 @@
 
 /// The delivery of a command that was sent on the current connection as command 4, before gauge query 5.
 const BEFORE_QUERY_5: CommandDelivery = CommandDelivery::CurrentConnection { number: 4 };
-/// The last command that was written on that connection.
-const LAST_WRITTEN: u64 = 5;
+
+/// Returns the evidence of a connection that broke after the answer to this query. All commands were written.
+fn evidence(last_answered_query: u64) -> DeliveryEvidence {
+    DeliveryEvidence {
+        last_answered_query,
+        last_written: u64::MAX,
+    }
+}
 
 /// When a connection breaks in these tests.
 const BREAK: Time = Time(50);
@@ -152,13 +158,13 @@
     for sent in every_last_command() {
         // The connections broke after the answer to query 4, and after that to query 5.
         let (mut unconfirmed, mut confirmed) = (sent.clone(), sent);
-        unconfirmed.mark_uncertain(4, LAST_WRITTEN, BREAK);
-        confirmed.mark_uncertain(5, LAST_WRITTEN, BREAK);
+        unconfirmed.classify_delivery(evidence(4), BREAK);
+        confirmed.classify_delivery(evidence(5), BREAK);
         assert_eq!(unconfirmed.delivery(), Some(UNCERTAIN));
         assert_eq!(confirmed.delivery(), Some(CommandDelivery::Confirmed));
         // A confirmed command remains confirmed on all later connections.
         confirmed.mark_resent(BEFORE_QUERY_5, true);
-        confirmed.mark_uncertain(0, LAST_WRITTEN, BREAK);
+        confirmed.classify_delivery(evidence(0), BREAK);
         assert_eq!(confirmed.delivery(), Some(CommandDelivery::Confirmed));
     }
 }
@@ -168,12 +174,12 @@
 fn uncertain_command_is_resent_only_if_it_may_arrive_twice() {
     let resent = |is_idempotent| {
         every_last_command().map(|mut execution| {
-            execution.mark_uncertain(4, LAST_WRITTEN, BREAK);
-            let undecided_since = execution.undecided_since(is_idempotent);
+            execution.classify_delivery(evidence(4), BREAK);
+            let in_doubt_since = execution.in_doubt_since(is_idempotent);
             execution.mark_resent(BEFORE_QUERY_5, is_idempotent);
             let is_resent = execution.delivery() == Some(BEFORE_QUERY_5);
-            // A command is either resent or undecided since the break.
-            assert_eq!(undecided_since, (!is_resent).then_some(BREAK));
+            // Either the command is resent, or the run is in doubt since the break.
+            assert_eq!(in_doubt_since, (!is_resent).then_some(BREAK));
             is_resent
         })
     };
@@ -186,9 +192,13 @@
 fn command_that_was_not_written_is_resent() {
     for is_idempotent in [false, true] {
         for mut execution in every_last_command() {
-            execution.mark_uncertain(2, 3, BREAK);
+            let unwritten = DeliveryEvidence {
+                last_answered_query: 2,
+                last_written: 3,
+            };
+            execution.classify_delivery(unwritten, BREAK);
             assert_eq!(execution.delivery(), Some(CommandDelivery::Unsent));
-            assert_eq!(execution.undecided_since(is_idempotent), None);
+            assert_eq!(execution.in_doubt_since(is_idempotent), None);
             execution.mark_resent(BEFORE_QUERY_5, is_idempotent);
             assert_eq!(execution.delivery(), Some(BEFORE_QUERY_5));
         }
@@ -196,14 +206,14 @@
 }
 
 #[test]
-fn undecided_command_stays_so_over_later_breaks_until_a_notice() {
+fn run_stays_in_doubt_over_later_breaks_until_a_notice() {
     let mut execution = running();
-    execution.mark_uncertain(4, LAST_WRITTEN, BREAK);
+    execution.classify_delivery(evidence(4), BREAK);
     execution.mark_resent(BEFORE_QUERY_5, false);
-    execution.mark_uncertain(5, LAST_WRITTEN, Time(60));
-    assert_eq!(execution.undecided_since(false), Some(BREAK));
+    execution.classify_delivery(evidence(5), Time(60));
+    assert_eq!(execution.in_doubt_since(false), Some(BREAK));
     assert_eq!(execution.require_call(call(1)), CallRequirement::New);
-    assert_eq!(execution.undecided_since(false), None);
+    assert_eq!(execution.in_doubt_since(false), None);
 }
 
 #[test]
@@ -223,12 +233,12 @@
     let mut started = running();
     started.mark_start_uncertain(BREAK);
     assert_eq!(started.delivery(), Some(BEFORE_QUERY_5));
-    started.mark_uncertain(5, LAST_WRITTEN, Time(45));
+    started.classify_delivery(evidence(5), Time(45));
     started.mark_start_uncertain(BREAK);
     assert_eq!(started.delivery(), Some(UNCERTAIN));
 
     let mut skipped = resumed_with(LastCommand::SkipCall(1));
-    skipped.mark_uncertain(5, LAST_WRITTEN, Time(45));
+    skipped.classify_delivery(evidence(5), Time(45));
     skipped.mark_start_uncertain(BREAK);
     assert_eq!(skipped.delivery(), Some(CommandDelivery::Confirmed));
 }
@@ -240,7 +250,7 @@
     };
     let mut uncertain = running();
     assert!(!lost(&uncertain, false, true));
-    uncertain.mark_uncertain(0, LAST_WRITTEN, BREAK);
+    uncertain.classify_delivery(evidence(0), BREAK);
     assert!(lost(&uncertain, false, true));
     assert!(
         !lost(&uncertain, true, true),
--- a/crates/heathspurd/tests/unit/interpreter_session.rs
+++ b/crates/heathspurd/tests/unit/interpreter_session.rs
@@ -62,19 +62,19 @@
 }
 
 #[test]
-fn undecided_deadline_counts_until_the_link_breaks() {
+fn in_doubt_deadline_counts_until_the_link_breaks() {
     let mut session = InterpreterSession::new(Link::new());
-    let deadline = InterpreterSession::undecided_deadline_of(Time(5));
-    assert_eq!(deadline, Time(5) + UNDECIDED_TIMEOUT);
+    let deadline = InterpreterSession::in_doubt_deadline(Time(5));
+    assert_eq!(deadline, Time(5) + IN_DOUBT_TIMEOUT);
     session.begin_resume(Time(0));
     session.finish_resume();
-    session.set_undecided_deadline(Some(deadline));
+    session.set_in_doubt_deadline(Some(deadline));
     assert_eq!(session.next_deadline(), Some(deadline));
-    assert!(!session.is_undecided_deadline_due(Time(deadline.0 - 1)));
-    assert!(session.is_undecided_deadline_due(deadline));
+    assert!(!session.is_in_doubt_deadline_due(Time(deadline.0 - 1)));
+    assert!(session.is_in_doubt_deadline_due(deadline));
     session.disconnect();
     assert_eq!(session.next_deadline(), None);
-    assert!(!session.is_undecided_deadline_due(deadline));
+    assert!(!session.is_in_doubt_deadline_due(deadline));
 }
 
 fn address(port: u16) -> SocketAddr {
