Share the break of the link and the checks of commands between the process tests

reconnect.rs and peers.rs had their own steps to break the link and answer the first query, and their own comparisons of APPLY and BREAK: they stand once in tests/common now.

The test of a call that replaces a pending one used an order that the server no longer brings about (a call to which no reply was ever sent). It now forces the real one: the reply was received after all, and the run's next call arrives while the first is made again. It still asserts that the first call's connection closes and that the next call gets its own reply.

--- a/crates/heathspur-testkit/src/mock_interpreter.rs
+++ b/crates/heathspur-testkit/src/mock_interpreter.rs
@@ -100,7 +100,7 @@
         while matches!(self.reader.read_line(&mut line), Ok(n) if n > 0) {
             assert!(
                 start.elapsed() < EVENT_TIMEOUT,
-                "the server kept the interpreter link open for {EVENT_TIMEOUT:?}"
+                "the server did not close the interpreter link within {EVENT_TIMEOUT:?}"
             );
             let command = parse_command(&line);
             if command["verb"] == "TOP" {
--- a/crates/heathspurd/tests/common/mod.rs
+++ b/crates/heathspurd/tests/common/mod.rs
@@ -1,5 +1,5 @@
-//! Helpers that several of the process tests share: identifiers, waits, and listeners of peers that are unavailable at
-//! first because they refuse connections or leave them unaccepted.
+//! Helpers that several of the process tests share: identifiers, the stages of a run, waits, and listeners of peers that
+//! are unavailable at first because they refuse connections or leave them unaccepted.
 // Each test binary uses only some of these items.
 #![allow(dead_code)]
 
@@ -62,17 +62,41 @@
     assert_eq!(command, &expected);
 }
 
+/// Checks that the command starts the run of the request with this `X-Txn`.
+pub fn assert_starts_run(command: &Value, txn: u64) {
+    assert_eq!(
+        (&command["verb"], &command["task"]),
+        (&json!("APPLY"), &json!(task_id(txn)))
+    );
+}
+
+/// Checks that the command stops the run of the request with this `X-Txn`.
+pub fn assert_stops_run(command: &Value, txn: u64) {
+    assert_eq!(
+        (&command["verb"], &command["task"]),
+        (&json!("BREAK"), &json!(task_id(txn)))
+    );
+}
+
+/// Breaks the link, accepts the next one, and answers the gauge query that shows that all missed notices have arrived.
+pub fn reconnect(server: &ServerFixture, broken_link: MockInterpreter) -> MockInterpreter {
+    drop(broken_link);
+    let mut interpreter = server.accept_link();
+    interpreter.answer_gauge_queries(1);
+    interpreter
+}
+
 /// Completes the first request's run, and checks that its client gets the result.
 pub fn complete_run(interpreter: &mut MockInterpreter, client: &mut Http1Client) {
     interpreter.send_value(&task_id(1), "complete", b"done");
     assert_eq!(client.read_response().2, b"done");
 }
 
-/// Waits until the condition holds.
+/// Waits until the condition is met.
 ///
 /// # Panics
 ///
-/// Panics if the condition does not hold within `EVENT_TIMEOUT`.
+/// Panics if the condition is not met within `EVENT_TIMEOUT`.
 pub fn wait_until(description: &str, mut condition: impl FnMut() -> bool) {
     let start = Instant::now();
     while !condition() {
--- a/crates/heathspurd/tests/interpreter_move.rs
+++ b/crates/heathspurd/tests/interpreter_move.rs
@@ -3,7 +3,9 @@
 
 mod common;
 
-use common::{assert_delivers_reply, complete_run, make_call, start_run, task_id};
+use common::{
+    assert_delivers_reply, assert_stops_run, complete_run, make_call, start_run, task_id,
+};
 use heathspur_testkit::prelude::*;
 
 /// The number of gauge queries, one each 20 ms, after which a run that the move had left in doubt would have failed (1 s).
@@ -26,7 +28,7 @@
 fn call_reply_sent_before_move_is_received_before_link_closes() {
     let (mut server, mut interpreter, mut client) = start_run(Some("k"));
     let _store = make_call(&server, &mut interpreter, b"one", "first");
-    assert_eq!(interpreter.read_command()["verb"], "RESOLVE");
+    assert_delivers_reply(&interpreter.read_command(), "first");
     let _reports = server.replace_peer_addresses();
     answer_queries_until_closed(interpreter);
     let mut interpreter = server.accept_link();
@@ -107,9 +109,5 @@
 fn run_cancelled_during_move_back_to_current_address_receives_break() {
     let (mut server, mut interpreter, client) = start_run(None);
     reload_there_and_back(&mut server, || drop(client));
-    let command = interpreter.read_command();
-    assert_eq!(
-        (command["verb"].as_str(), command["task"].as_str()),
-        (Some("BREAK"), Some(task_id(1).as_str()))
-    );
+    assert_stops_run(&interpreter.read_command(), 1);
 }
--- a/crates/heathspurd/tests/peers.rs
+++ b/crates/heathspurd/tests/peers.rs
@@ -3,7 +3,10 @@
 
 mod common;
 
-use common::{address_json, FullAcceptQueue, SLOW_CONNECT};
+use common::{
+    address_json, assert_starts_run, complete_run, start_run, task_id, FullAcceptQueue,
+    SLOW_CONNECT,
+};
 use heathspur_testkit::prelude::*;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -308,11 +311,7 @@
 fn start_with_late_gauges(
     key: Option<&str>,
 ) -> (ServerFixture, MockInterpreter, Http1Client, Value) {
-    let server = ServerFixture::start();
-    let mut interpreter = server.accept_link();
-    let mut client = server.connect_client();
-    client.send(&request(1, key, b"abc"));
-    interpreter.read_apply();
+    let (server, interpreter, client) = start_run(key);
     drop(interpreter);
     let mut interpreter = server.accept_link();
     assert_eq!(interpreter.read_any_command()["verb"], "TOP");
@@ -325,21 +324,15 @@
 #[test]
 fn run_is_not_restarted_while_missed_notices_may_arrive() {
     let (_server, mut interpreter, mut client, _) = start_with_late_gauges(Some("k"));
-    interpreter.send_value("0000000000000001", "complete", b"one");
-    assert_eq!(client.read_response().2, b"one");
+    complete_run(&mut interpreter, &mut client);
 }
 
 #[test]
 fn idempotent_run_is_restarted_when_late_gauges_show_no_missed_notice() {
     let (_server, mut interpreter, mut client, nonce) = start_with_late_gauges(None);
     interpreter.send(json!({"verb": "TOPS", "nonce": nonce, "readings": [0.1, 0, 0.1, 2]}));
-    let restarted = interpreter.read_command_ignoring_gauges();
-    assert_eq!(
-        (restarted["verb"].as_str(), restarted["task"].as_str()),
-        (Some("APPLY"), Some("0000000000000001"))
-    );
-    interpreter.send_value("0000000000000001", "complete", b"one");
-    assert_eq!(client.read_response().2, b"one");
+    assert_starts_run(&interpreter.read_command_ignoring_gauges(), 1);
+    complete_run(&mut interpreter, &mut client);
 }
 
 // Guards against a second run of a keyed request whose start may have been received before the break.
@@ -349,11 +342,7 @@
     interpreter.send(json!({"verb": "TOPS", "nonce": nonce, "readings": [0.1, 0, 0.1, 2]}));
     assert_eq!(client.read_response().0, 500);
     client.send(&request(2, None, b"def"));
-    let started = interpreter.read_command_ignoring_gauges();
-    assert_eq!(
-        (started["verb"].as_str(), started["task"].as_str()),
-        (Some("APPLY"), Some("0000000000000002"))
-    );
-    interpreter.send_value("0000000000000002", "complete", b"two");
+    assert_starts_run(&interpreter.read_command_ignoring_gauges(), 2);
+    interpreter.send_value(&task_id(2), "complete", b"two");
     assert_eq!(client.read_response().2, b"two");
 }
--- a/crates/heathspurd/tests/reconnect.rs
+++ b/crates/heathspurd/tests/reconnect.rs
@@ -3,20 +3,11 @@
 
 mod common;
 
-use common::{answer_call, assert_delivers_reply, complete_run, make_call, start_run, task_id};
+use common::{
+    answer_call, assert_delivers_reply, assert_starts_run, assert_stops_run, complete_run,
+    make_call, reconnect, start_run, task_id,
+};
 use heathspur_testkit::prelude::*;
-use serde_json::{json, Value};
-
-fn answer_gauge_query(interpreter: &mut MockInterpreter, nonce: &Value) {
-    interpreter.send(json!({"verb": "TOPS", "nonce": nonce, "readings": [0.1, 0, 0.1, 2]}));
-}
-
-/// Reads the next command, which must be a gauge query, and answers it.
-fn answer_next_gauge_query(interpreter: &mut MockInterpreter) {
-    let command = interpreter.read_any_command();
-    assert_eq!(command["verb"], "TOP", "{command}");
-    answer_gauge_query(interpreter, &command["nonce"]);
-}
 
 /// Starts a server and a run that was sent the reply to its first call.
 fn start_run_with_reply(
@@ -34,10 +25,8 @@
 fn confirmed_start_of_keyed_run_is_not_resent_after_reconnect() {
     let (server, mut interpreter, mut client) = start_run(Some("k"));
     // The answer to a later gauge query confirms that the interpreter has read the start.
-    answer_next_gauge_query(&mut interpreter);
-    drop(interpreter);
-    let mut interpreter = server.accept_link();
-    answer_next_gauge_query(&mut interpreter);
+    interpreter.answer_gauge_queries(1);
+    let mut interpreter = reconnect(&server, interpreter);
     // The run is still in progress, and ends while a repeated start would be on its way.
     let mut other_client = server.connect_client();
     other_client.send(&request(2, None, b"def"));
@@ -49,10 +38,8 @@
 fn confirmed_call_reply_is_not_resent_after_reconnect() {
     let (server, mut interpreter, mut client, _store) = start_run_with_reply(Some("k"));
     // The answer to a later gauge query confirms that the interpreter has read the reply.
-    answer_next_gauge_query(&mut interpreter);
-    drop(interpreter);
-    let mut interpreter = server.accept_link();
-    answer_next_gauge_query(&mut interpreter);
+    interpreter.answer_gauge_queries(1);
+    let mut interpreter = reconnect(&server, interpreter);
     // The notice of the next call is on its way: a reply resent now would be taken as the reply to that call.
     let _store = make_call(&server, &mut interpreter, b"two", "second");
     assert_delivers_reply(&interpreter.read_command(), "second");
@@ -63,9 +50,7 @@
 #[test]
 fn unconfirmed_call_reply_is_not_resent_after_reconnect() {
     let (server, interpreter, mut client, _store) = start_run_with_reply(Some("k"));
-    drop(interpreter);
-    let mut interpreter = server.accept_link();
-    answer_next_gauge_query(&mut interpreter);
+    let mut interpreter = reconnect(&server, interpreter);
     // The run did read the reply on the first link, and reaches its next call only now.
     let _store = make_call(&server, &mut interpreter, b"two", "second");
     assert_delivers_reply(&interpreter.read_command_ignoring_gauges(), "second");
@@ -76,42 +61,35 @@
 #[test]
 fn run_whose_call_reply_was_lost_fails_and_is_not_run_again() {
     let (server, interpreter, mut client, _store) = start_run_with_reply(Some("k"));
-    drop(interpreter);
-    let mut interpreter = server.accept_link();
-    answer_next_gauge_query(&mut interpreter);
+    let mut interpreter = reconnect(&server, interpreter);
     assert_eq!(client.read_response().0, 500);
     assert_key_fails_and_slot_is_free(&server, &mut interpreter);
 }
 
-// Guards against a wrong reply, and against a failed request that only reads: the store is asked again, so the reply that
+// Guards against a wrong reply, and against the failure of a request that only reads: the call is made again, so the reply that
 // the run then gets belongs to the call that it waits for.
 #[test]
 fn idempotent_run_whose_call_reply_was_lost_makes_its_call_again() {
     let (server, interpreter, mut client, _store) = start_run_with_reply(None);
-    drop(interpreter);
-    let mut interpreter = server.accept_link();
-    answer_next_gauge_query(&mut interpreter);
+    let mut interpreter = reconnect(&server, interpreter);
     let _store = answer_call(&server, b"one", "second");
     assert_delivers_reply(&interpreter.read_command_ignoring_gauges(), "second");
     complete_run(&mut interpreter, &mut client);
 }
 
+// Guards against a wrong reply: the run did receive the reply, late, and is at its next call while the first is made again.
 #[test]
-fn later_call_replaces_pending_call_and_gets_its_own_reply() {
-    let (server, interpreter, mut client, _store) = start_run_with_reply(Some("k"));
-    drop(interpreter);
-    let mut interpreter = server.accept_link();
-    answer_next_gauge_query(&mut interpreter);
+fn next_call_replaces_repeated_call_and_gets_its_own_reply() {
+    let (server, interpreter, mut client, _store) = start_run_with_reply(None);
+    let mut interpreter = reconnect(&server, interpreter);
+    let mut repeated = MockStore::accept(&server);
+    assert_eq!(repeated.read_call().1, b"one");
     interpreter.send_await(&task_id(1), b"two");
-    let mut second = MockStore::accept(&server);
-    assert_eq!(second.read_call().1, b"two");
-    // The run no longer waits for its second call, to which no reply was sent.
-    interpreter.send_await(&task_id(1), b"three");
-    let mut third = MockStore::accept(&server);
-    assert_eq!(third.read_call().1, b"three");
-    second.assert_closed();
-    third.send_ok(1, "third");
-    assert_delivers_reply(&interpreter.read_command_ignoring_gauges(), "third");
+    let mut next = MockStore::accept(&server);
+    assert_eq!(next.read_call().1, b"two");
+    repeated.assert_closed();
+    next.send_ok(1, "second");
+    assert_delivers_reply(&interpreter.read_command_ignoring_gauges(), "second");
     complete_run(&mut interpreter, &mut client);
 }
 
@@ -119,9 +97,7 @@
 #[test]
 fn unconfirmed_start_of_keyed_run_is_not_resent_after_reconnect() {
     let (server, interpreter, [mut first, mut second]) = start_two_runs();
-    drop(interpreter);
-    let mut interpreter = server.accept_link();
-    answer_next_gauge_query(&mut interpreter);
+    let mut interpreter = reconnect(&server, interpreter);
     // The first request only reads, so its start is sent again.
     assert_eq!(interpreter.read_apply().0, task_id(1));
     let mut other_client = server.connect_client();
@@ -139,9 +115,7 @@
 #[test]
 fn keyed_run_whose_start_was_lost_fails_and_is_not_run_again() {
     let (server, interpreter, mut client) = start_run(Some("k"));
-    drop(interpreter);
-    let mut interpreter = server.accept_link();
-    answer_next_gauge_query(&mut interpreter);
+    let mut interpreter = reconnect(&server, interpreter);
     assert_eq!(client.read_response().0, 500);
     assert_key_fails_and_slot_is_free(&server, &mut interpreter);
 }
@@ -158,17 +132,14 @@
 #[test]
 fn run_with_confirmed_reply_cancelled_while_link_is_down_receives_only_break() {
     let (server, mut interpreter, client) = start_run(None);
-    interpreter.send_await(&task_id(1), b"one");
-    let mut store = MockStore::accept(&server);
-    store.read_call();
-    store.send_ok(1, "first");
-    assert_eq!(interpreter.read_command()["verb"], "RESOLVE");
-    answer_next_gauge_query(&mut interpreter);
+    let _store = make_call(&server, &mut interpreter, b"one", "first");
+    assert_delivers_reply(&interpreter.read_command(), "first");
+    interpreter.answer_gauge_queries(1);
     drop(interpreter);
     let mut interpreter = server.accept_link();
     drop(client);
-    answer_next_gauge_query(&mut interpreter);
-    assert_eq!(interpreter.read_command()["verb"], "BREAK");
+    interpreter.answer_gauge_queries(1);
+    assert_stops_run(&interpreter.read_command(), 1);
     interpreter.send_value(&task_id(1), "cancelled", b"");
     let mut client = server.connect_client();
     client.send(&request(2, None, b"def"));
@@ -179,11 +150,11 @@
 fn cancelled_run_that_ended_while_link_was_down_receives_no_command() {
     let (server, mut interpreter, client) = start_run(None);
     drop(client);
-    assert_eq!(interpreter.read_command()["verb"], "BREAK");
+    assert_stops_run(&interpreter.read_command(), 1);
     drop(interpreter);
     let mut interpreter = server.accept_link();
     interpreter.send_value(&task_id(1), "cancelled", b"");
-    answer_next_gauge_query(&mut interpreter);
+    interpreter.answer_gauge_queries(1);
     let mut client = server.connect_client();
     client.send(&request(2, None, b"def"));
     assert_eq!(interpreter.read_apply().0, task_id(2));
@@ -193,11 +164,7 @@
 fn cancelled_run_whose_call_notice_crosses_break_frees_its_slot() {
     let (server, mut interpreter, client) = start_run(None);
     drop(client);
-    let cancellation = interpreter.read_command();
-    assert_eq!(
-        (&cancellation["verb"], &cancellation["task"]),
-        (&json!("BREAK"), &json!(task_id(1)))
-    );
+    assert_stops_run(&interpreter.read_command(), 1);
     // The interpreter sent this notice before it received `BREAK`.
     interpreter.send_await(&task_id(1), b"one");
     interpreter.send_value(&task_id(1), "cancelled", b"");
@@ -271,14 +238,10 @@
     assert_eq!(interpreter.resume_index, 0);
     interpreter.last_index = 4_100;
     interpreter.send_value(&task_id(3), "complete", b"");
-    answer_next_gauge_query(&mut interpreter);
+    interpreter.answer_gauge_queries(1);
     // The outcome of the second request is unknown, so it fails; the first only reads and is safe to run again.
     assert_eq!(second.read_response().0, 500);
-    let restarted = interpreter.read_command_ignoring_gauges();
-    assert_eq!(
-        (&restarted["verb"], &restarted["task"]),
-        (&json!("APPLY"), &json!(task_id(1)))
-    );
+    assert_starts_run(&interpreter.read_command_ignoring_gauges(), 1);
     interpreter.send_value(&task_id(1), "complete", b"one");
     assert_eq!(first.read_response().2, b"one");
     // A retry with the same idempotency key is not run either.
@@ -292,7 +255,7 @@
 #[test]
 fn confirmed_idempotent_run_whose_final_notice_was_evicted_is_run_again() {
     let (server, mut interpreter, mut client) = start_run(None);
-    answer_next_gauge_query(&mut interpreter);
+    interpreter.answer_gauge_queries(1);
     drop(interpreter);
     let mut interpreter = server.accept_link();
     interpreter.last_index = 4_100;
@@ -300,7 +263,7 @@
     interpreter = server.accept_link();
     interpreter.last_index = 4_100;
     interpreter.send_value(&task_id(3), "complete", b"");
-    answer_next_gauge_query(&mut interpreter);
+    interpreter.answer_gauge_queries(1);
     assert_eq!(interpreter.read_apply().0, task_id(1));
     interpreter.send_value(&task_id(1), "complete", b"one");
     assert_eq!(client.read_response().2, b"one");
