Tell a confirmed command from one in doubt in the reconnection tests

With no command confirmed at all, the two tests of confirmed commands passed: a run in doubt is not resent either, and they ended it before its second was over. They now see that nothing is sent for longer than a run may be in doubt, and that the run still completes. Both fail on that mutant.

--- a/crates/heathspurd/tests/common/mod.rs
+++ b/crates/heathspurd/tests/common/mod.rs
@@ -16,6 +16,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// The number of gauge queries, one each 20 ms, after which a run that is in doubt has failed (1 s).
+const QUERIES_UNTIL_IN_DOUBT_RUNS_FAIL: usize = 75;
+
 /// Returns the task ID of the request with this `X-Txn`. It identifies the run on the interpreter's link and the call on
 /// the connection to the store.
 pub fn task_id(txn: u64) -> String {
@@ -86,6 +89,11 @@
     interpreter
 }
 
+/// Checks that no command is resent on a new link for longer than a run may be in doubt.
+pub fn assert_no_command_is_resent(interpreter: &mut MockInterpreter) {
+    interpreter.answer_gauge_queries(QUERIES_UNTIL_IN_DOUBT_RUNS_FAIL);
+}
+
 /// Completes the first request's run, and checks that its client gets the result.
 pub fn complete_run(interpreter: &mut MockInterpreter, client: &mut Http1Client) {
     interpreter.send_value(&task_id(1), "complete", b"done");
--- a/crates/heathspurd/tests/interpreter_move.rs
+++ b/crates/heathspurd/tests/interpreter_move.rs
@@ -4,24 +4,17 @@
 mod common;
 
 use common::{
-    assert_delivers_reply, assert_stops_run, complete_run, make_call, start_run, task_id,
+    assert_delivers_reply, assert_no_command_is_resent, assert_stops_run, complete_run, make_call,
+    start_run, task_id,
 };
 use heathspur_testkit::prelude::*;
 
-/// The number of gauge queries, one each 20 ms, after which a run that the move had left in doubt would have failed (1 s).
-const QUERIES_UNTIL_IN_DOUBT_RUNS_FAIL: usize = 75;
-
 /// Answers the gauge queries on the old link until the server closes it, and checks that it carries no other command.
 fn answer_queries_until_closed(old_link: MockInterpreter) {
     let commands = old_link.answer_gauge_queries_until_closed();
     assert!(commands.is_empty(), "{commands:?}");
 }
 
-/// Checks that nothing is sent on the new link for longer than a run may be in doubt.
-fn assert_no_command_is_resent(interpreter: &mut MockInterpreter) {
-    interpreter.answer_gauge_queries(QUERIES_UNTIL_IN_DOUBT_RUNS_FAIL);
-}
-
 // Guards against a wrong reply: the server closed a sound link just after it had sent the reply to a call, and sent the same
 // reply again on the new one, where the run already waited for its next call.
 #[test]
--- a/crates/heathspurd/tests/reconnect.rs
+++ b/crates/heathspurd/tests/reconnect.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::{
-    answer_call, assert_delivers_reply, assert_starts_run, assert_stops_run, complete_run,
-    make_call, reconnect, start_run, task_id,
+    answer_call, assert_delivers_reply, assert_no_command_is_resent, assert_starts_run,
+    assert_stops_run, complete_run, make_call, reconnect, start_run, task_id,
 };
 use heathspur_testkit::prelude::*;
 
@@ -27,7 +27,7 @@
     // The answer to a later gauge query confirms that the interpreter has read the start.
     interpreter.answer_gauge_queries(1);
     let mut interpreter = reconnect(&server, interpreter);
-    // The run is still in progress, and ends while a repeated start would be on its way.
+    assert_no_command_is_resent(&mut interpreter);
     let mut other_client = server.connect_client();
     other_client.send(&request(2, None, b"def"));
     assert_eq!(interpreter.read_apply().0, task_id(2));
@@ -40,7 +40,8 @@
     // The answer to a later gauge query confirms that the interpreter has read the reply.
     interpreter.answer_gauge_queries(1);
     let mut interpreter = reconnect(&server, interpreter);
-    // The notice of the next call is on its way: a reply resent now would be taken as the reply to that call.
+    assert_no_command_is_resent(&mut interpreter);
+    // A reply resent now would be taken as the reply to the next call.
     let _store = make_call(&server, &mut interpreter, b"two", "second");
     assert_delivers_reply(&interpreter.read_command(), "second");
     complete_run(&mut interpreter, &mut client);
