review: case 9, HTTP/2 answers are dropped in a network cut of 6 s

Cause: an answer that is not read within 5 s is dropped, whatever time its request has left. Change: a case with its script, and a proxy among the stand-ins; no code of the project is touched.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -216,6 +216,7 @@
         self.results = {}
         self.servers = []
         self.links = 0
+        self.result_size = 0
 
     async def listen(self):
         server = await asyncio.start_server(self.link, "127.0.0.1", 0, limit=1 << 20)
@@ -332,6 +333,7 @@
         message = {"verb": "VALUE", "task": task, "outcome": outcome, "spent": 1}
         if outcome == "complete":
             result = b"result of " + task.encode() + b" " + request.body[:32]
+            result += b"." * (self.result_size - len(result))
             self.results[task] = result
             message["bytes"] = base64.b64encode(result).decode()
         self.record("interpreter: run of %s %s ends: %s" % (request.kind, task, outcome))
@@ -523,27 +525,35 @@
 
 
 class Http2:
-    """One connection. `end` of a stream says how it ended."""
+    """One connection. `end` of a stream says how it ended.
 
-    def __init__(self, port):
-        self.port = port
+    With `large_windows` the client grants windows that are never used up. Otherwise they have their initial 65,535
+    bytes, and the client grants again what it has read.
+    """
+
+    def __init__(self, port, large_windows=True):
+        self.port, self.large_windows = port, large_windows
         self.next_stream = 1
         self.streams = {}
         self.goaway = None
         self.max_streams = 100
         self.closed = False
 
-    async def open(self):
+    async def open(self, first=b"", settle=True):
+        """Connects. `first` follows the preface at once; with `settle` the server's settings are awaited."""
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
         sock = self.writer.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.writer.write(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
-        # No dynamic table (1), no push (2), a large window for each stream (4).
-        self.writer.write(frame(SETTINGS, 0, 0, struct.pack(">HIHIHI", 1, 0, 2, 0, 4, 1 << 20)))
-        self.writer.write(frame(WINDOW_UPDATE, 0, 0, struct.pack(">I", 1 << 28)))
+        # No dynamic table (1), no push (2), the window of each stream (4).
+        window = 1 << 20 if self.large_windows else 65535
+        opening = frame(SETTINGS, 0, 0, struct.pack(">HIHIHI", 1, 0, 2, 0, 4, window))
+        if self.large_windows:
+            opening += frame(WINDOW_UPDATE, 0, 0, struct.pack(">I", 1 << 28))
+        self.writer.write(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + opening + first)
         self.settled = asyncio.get_event_loop().create_future()
         self.job = asyncio.ensure_future(self.read())
-        await asyncio.wait_for(self.settled, 5)
+        if settle:
+            await asyncio.wait_for(self.settled, 5)
 
     def request_frames(self, request, pieces=None):
         """Returns the stream's number and its frames, and registers the stream."""
@@ -604,6 +614,11 @@
                 stream.finish("answered")
         elif kind == DATA and stream:
             stream.body += payload
+            if payload and not self.large_windows:
+                granted = struct.pack(">I", len(payload))
+                self.writer.write(frame(WINDOW_UPDATE, 0, 0, granted))
+                if not flags & END_STREAM:
+                    self.writer.write(frame(WINDOW_UPDATE, 0, number, granted))
             if flags & END_STREAM:
                 stream.finish("answered")
         elif kind == RST_STREAM and stream:
@@ -618,6 +633,48 @@
 # A balancer with one HTTP/2 connection at a time, and the frame of a case
 
 
+class Proxy:
+    """The network between balancers and a server. While it is cut, no byte passes; later all of them do, in order."""
+
+    def __init__(self, record, target):
+        self.record, self.target = record, target
+        self.passes = asyncio.Event()
+        self.passes.set()
+
+    async def listen(self):
+        server = await asyncio.start_server(self.connection, "127.0.0.1", 0)
+        return server.sockets[0].getsockname()[1]
+
+    def cut(self):
+        self.record("network: cut between the balancer and the server")
+        self.passes.clear()
+
+    def heal(self):
+        self.record("network: passes again")
+        self.passes.set()
+
+    async def connection(self, reader, writer):
+        try:
+            server_reader, server_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(self.forward(reader, server_writer), self.forward(server_reader, writer))
+
+    async def forward(self, reader, writer):
+        try:
+            while True:
+                data = await reader.read(16384)
+                await self.passes.wait()
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        writer.close()
+
+
 class Balancer2:
     """Sends requests over one HTTP/2 connection, and opens a new one when that has ended.
 
@@ -625,8 +682,8 @@
     reset the stream), "refused" (reset as not processed) or "lost".
     """
 
-    def __init__(self, record, requests, port):
-        self.record, self.requests, self.port = record, requests, port
+    def __init__(self, record, requests, port, large_windows=True):
+        self.record, self.requests, self.port, self.large_windows = record, requests, port, large_windows
         self.client = None
         self.outcomes = collections.Counter()
         self.lost = []
@@ -635,7 +692,7 @@
 
     async def connection(self):
         if self.client is None or self.client.closed or self.client.goaway:
-            self.client = Http2(self.port)
+            self.client = Http2(self.port, self.large_windows)
             self.unflushed = []
             await self.client.open()
             self.record("balancer: a new connection")
@@ -716,7 +773,8 @@
     record("verdict (trouble %s): %s" % ("on" if trouble else "off", verdict))
     record.close()
     print("%s: %s" % (verdict, "; ".join(broken[:3])))
-    sys.exit(code)
+    sys.stdout.flush()
+    os._exit(code)  # no clean-up of open sockets after the end of the event loop
 
 
 def share(lost, sent):
