--- a/review/standins2.py
+++ b/review/standins2.py
@@ -8,6 +8,7 @@
 import base64
 import collections
 import json
+import logging
 import os
 import random
 import shutil
@@ -19,6 +20,7 @@
 import tempfile
 import time
 
+logging.getLogger("asyncio").setLevel(logging.CRITICAL)  # it warns of writes to ended connections
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 
