--- a/review/standins2.py
+++ b/review/standins2.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the cases 6 to 10: platform, interpreter, store, announce service, HTTP/1.1 and HTTP/2 clients.
+"""Stand-ins for the cases 6 to 10: platform, interpreter, store, announce service, network, HTTP/1.1 and HTTP/2 clients.
 
 All of them run in the process of the case's script, on loopback addresses and the real clock. They follow the
 protocol page; where it is silent they behave like a sound platform or client. `Record` writes `record.txt`.
@@ -90,7 +90,7 @@
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="heathspur-case-")
         self.port = free_port()
-        self.http2_port = free_port() if http2 else None
+        self.http2 = http2
         self.stop_ms = stop_ms
         classes = family.pop("classes", None)
         tenants = family.pop("tenants", ("acme",))
@@ -101,8 +101,6 @@
             "seed": "%016x" % random.getrandbits(64), "stop_ms": stop_ms, "limits": limits,
             "settings": settings(classes, tenants, **family),
         }
-        if http2:
-            operator += '<http2 listen="127.0.0.1:%d"/>' % self.http2_port
         self.operator = operator
         self.process = None
         self.write_config()
@@ -117,10 +115,14 @@
         with open(os.path.join(ROOT, "deploy", "balancer.toml")) as f:
             run = next(line for line in f if line.startswith("run"))
         command = run.split('"')[1]
-        if self.operator:
+        operator = self.operator
+        if self.http2:
+            self.http2_port = free_port()
+            operator += '<http2 listen="127.0.0.1:%d"/>' % self.http2_port
+        if operator:
             path = os.path.join(self.folder, "operator.xml")
             with open(path, "w") as f:
-                f.write('<operator xmlns="urn:heathspur:operator:1">%s</operator>\n' % self.operator)
+                f.write('<operator xmlns="urn:heathspur:operator:1">%s</operator>\n' % operator)
             command += " serve --operator " + path
         environment = dict(os.environ, NODE_NAME=self.config["name"], NODE_LISTEN=self.config["listen"],
                            NODE_CONFIG=self.path, TMPDIR=self.folder)
@@ -136,7 +138,15 @@
     async def ready(self, seconds=10):
         """Waits until a health check is answered with 200. Returns whether it was."""
         end = time.time() + seconds
-        while time.time() < end and self.process.poll() is None:
+        while time.time() < end:
+            if self.process.poll() is not None:
+                if "in use" not in self.log_text():
+                    return False
+                # Another program of this machine has taken the port since it was chosen.
+                self.port = free_port()
+                self.config["listen"] = "127.0.0.1:%d" % self.port
+                self.write_config()
+                self.start()
             try:
                 client = Http1(self.port)
                 await client.open()
@@ -756,6 +766,7 @@
     `case(record, trouble, servers)` returns a list of what broke the rule; it puts each server it starts into `servers`.
     """
     record = Record(os.path.join(folder, "record.txt"))
+    signal.signal(signal.SIGTERM, signal.default_int_handler)   # so that the servers are ended then too
     trouble = os.environ.get("TROUBLE", "1") != "0"
     servers, broken, code = [], [], 2
     try:
