--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 SERVERS, SHARE = 50, 0.1           # the dependency survives a mean of 50 x 0.1 = 5 calls in its hands
 WINDOW_S, LINGER_S = 5.0, 0.2      # calls-over-s and linger-s
 CALL_S, SLOWER = 0.3, 7            # time of a call, and how much slower the dependency is in the trouble
-RATE = 2.0                         # requests a second to each server
+RATE = 0.7                         # requests a second to each server
 TRAFFIC_S, QUIET_S, TROUBLE_S, AFTER_S = 20, 25, 15, 2
 CLASSES = [("fit-check", "read_like", 2.4, 6.4, 5.0, True)]
 
