--- a/review/10/case.py
+++ b/review/10/case.py
@@ -6,6 +6,8 @@
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 from standins2 import *
 
+RECORD_FILE = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
+
 CALM_S, PIECES_S = 3, 9
 RATE = 60          # requests a second on the balancer's connection, one in ten with a key
 RUN_S = 0.2        # time of a run
@@ -43,4 +45,4 @@
     return []
 
 
-run_case(os.path.dirname(os.path.abspath(__file__)), case)
+run_case(RECORD_FILE, case)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,6 +6,8 @@
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 from standins2 import *
 
+RECORD_FILE = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
+
 SERVERS, SHARE = 50, 0.1           # the dependency survives a mean of 50 x 0.1 = 5 calls in its hands
 WINDOW_S, LINGER_S = 5.0, 0.2      # calls-over-s and linger-s
 CALL_S, SLOWER = 0.3, 7            # time of a call, and how much slower the dependency is in the trouble
@@ -77,7 +79,7 @@
     dependency, announce = Dependency(record), Announce(record)
     store, announce_port = await dependency.listen(), await announce.listen()
     for number in range(SERVERS):
-        interpreter = Interpreter(lambda text: None, requests, work=lambda r: 0.05, calls=lambda r: 1)
+        interpreter = Interpreter(record, requests, work=lambda r: 0.05, calls=lambda r: 1)
         dependency.interpreters.append(interpreter)
         server = Server(record, await interpreter.listen(), announce_port, store, name="n%d" % number, classes=CLASSES, **{
             "n-cores": 2, "halt": "drop", "depends-on": "shared", "calls-out": SHARE, "calls-over-s": WINDOW_S,
@@ -98,11 +100,13 @@
         try:
             await client.open()
             client.write("POST", request.path(), request.headers(), request.body)
-            status, _, _ = await asyncio.wait_for(client.answer(), 6.5)
-            outcomes[status] += 1
+            record("balancer: sent %s to %s" % (request.txn, server.config["name"]))
+            how, _, _ = await asyncio.wait_for(client.answer(), 6.5)
             client.close()
         except (OSError, EOFError, asyncio.TimeoutError) as error:
-            outcomes[type(error).__name__] += 1
+            how = type(error).__name__
+        outcomes[how] += 1
+        record("balancer: %s: %s" % (request.txn, how))
         request.over = True
 
     jobs = []
@@ -141,4 +145,4 @@
     return ["fall-over: the shared dependency has " + text] if mean > survives else []
 
 
-run_case(os.path.dirname(os.path.abspath(__file__)), case, limit=118)
+run_case(RECORD_FILE, case, limit=118)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,6 +6,8 @@
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 from standins2 import *
 
+RECORD_FILE = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
+
 MEMORY_MB, SOCKETS = 32, 512       # limits of the configuration
 BEFORE_S, TROUBLE_S, AFTER_S = 3, 12, 2
 RATE = 20                          # requests a second of the balancer, over HTTP/1.1
@@ -103,4 +105,4 @@
     return []
 
 
-run_case(os.path.dirname(os.path.abspath(__file__)), case)
+run_case(RECORD_FILE, case)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -6,6 +6,8 @@
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 from standins2 import *
 
+RECORD_FILE = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
+
 BEFORE_S, CUT_S, AFTER_S = 3, 6, 2
 RATE = 60          # requests a second of the balancer, one in four with a key
 RUN_S = 0.5        # time of a run
@@ -48,4 +50,4 @@
     return []
 
 
-run_case(os.path.dirname(os.path.abspath(__file__)), case)
+run_case(RECORD_FILE, case)
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -760,12 +760,12 @@
             await asyncio.wait(self.waiting, timeout=15)
 
 
-def run_case(folder, case, limit=110):
-    """Runs a case and exits with 0 (the rule held), 1 (it was broken) or 2 (the case couldn't run).
+def run_case(record_file, case, limit=110):
+    """Runs a case, writes its record, and exits with 0 (the rule held), 1 (it was broken) or 2 (the case couldn't run).
 
     `case(record, trouble, servers)` returns a list of what broke the rule; it puts each server it starts into `servers`.
     """
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(record_file)
     signal.signal(signal.SIGTERM, signal.default_int_handler)   # so that the servers are ended then too
     trouble = os.environ.get("TROUBLE", "1") != "0"
     servers, broken, code = [], [], 2
